--- /dev/null
+++ b/crates/core/src/hash.rs
@@ -0,0 +1,28 @@
+//! Stable hashes, equal on every instance and in every build.
+
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed, xxh3_128};
+
+/// A 128-bit hash of content, used where equality of content decides.
+pub fn content_hash(bytes: &[u8]) -> u128 {
+    xxh3_128(bytes)
+}
+
+/// A 64-bit hash of a short key.
+pub fn key_hash(bytes: &[u8]) -> u64 {
+    xxh3_64(bytes)
+}
+
+/// The rendezvous weight of `node` for `key`: the node with the highest weight owns the key.
+pub fn rendezvous_weight(key: &[u8], node: &[u8]) -> u64 {
+    xxh3_64_with_seed(node, xxh3_64(key))
+}
+
+/// The owner of `key` among `nodes` by rendezvous hashing.
+pub fn rendezvous_owner<'a, N: AsRef<[u8]> + ?Sized>(
+    key: &[u8],
+    nodes: impl IntoIterator<Item = &'a N>,
+) -> Option<&'a N> {
+    nodes
+        .into_iter()
+        .max_by_key(|node| rendezvous_weight(key, (*node).as_ref()))
+}
--- /dev/null
+++ b/crates/core/src/ledger/shard.rs
@@ -0,0 +1,360 @@
+//! The ledger's state, spread over shards.
+
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::binding::{BindOutcome, BindingRecord, SessionKey};
+use super::claim::{
+    AttemptId, ClaimOutcome, ClaimRecord, ClaimRequest, ClaimState, RequestKey, SettleOutcome,
+    StoredAnswer,
+};
+use super::settings::LedgerSettings;
+use super::spend::{BillOutcome, BillRecord, SpendCell, SpendKey};
+use crate::ids::{EntryId, VersionId};
+use crate::plan::PlanView;
+use crate::time::TimePoint;
+
+/// Records of each sort that one command expires at most, so that no command takes long.
+const EXPIRIES_PER_COMMAND: usize = 8;
+
+/// The whole ledger.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LedgerState {
+    settings: LedgerSettings,
+    shards: Vec<LedgerShard>,
+    spend: BTreeMap<SpendKey, SpendCell>,
+}
+
+/// Records in the ledger.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LedgerSize {
+    /// Claims, with tombstones.
+    pub claims: usize,
+    /// Session bindings.
+    pub bindings: usize,
+    /// Bills that are remembered against being booked twice.
+    pub bills: usize,
+}
+
+/// One shard of the ledger.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct LedgerShard {
+    claims: HashMap<RequestKey, ClaimRecord>,
+    running: HashSet<RequestKey>,
+    bindings: HashMap<SessionKey, BindingRecord>,
+    bills: HashSet<RequestKey>,
+    due_answers: DueQueue<RequestKey>,
+    due_claims: DueQueue<RequestKey>,
+    due_bindings: DueQueue<SessionKey>,
+    due_bills: DueQueue<RequestKey>,
+}
+
+/// Keys in the order in which their records were last known to be used.
+type DueQueue<K> = VecDeque<(TimePoint, K)>;
+
+fn pop_due<K: Copy>(
+    queue: &mut DueQueue<K>,
+    retention: Duration,
+    stamp: TimePoint,
+) -> Option<(TimePoint, K)> {
+    let (since, _) = queue.front()?;
+    if stamp.since(*since) < retention {
+        return None;
+    }
+    queue.pop_front()
+}
+
+impl Default for LedgerState {
+    fn default() -> Self {
+        Self::new(LedgerSettings::default())
+    }
+}
+
+impl LedgerState {
+    /// An empty ledger.
+    pub fn new(settings: LedgerSettings) -> Self {
+        let shards = vec![LedgerShard::default(); settings.shards.max(1)];
+        Self {
+            settings,
+            shards,
+            spend: BTreeMap::new(),
+        }
+    }
+
+    fn shard(&mut self, key: u128) -> (&mut LedgerShard, &LedgerSettings) {
+        let count = self.shards.len() as u128;
+        let position = usize::try_from(key % count).unwrap_or_default();
+        (&mut self.shards[position], &self.settings)
+    }
+
+    /// Claims the right to run a request.
+    pub fn claim(&mut self, request: &ClaimRequest, stamp: TimePoint) -> ClaimOutcome {
+        let (shard, settings) = self.shard(request.key.0);
+        shard.expire(settings, stamp);
+        shard.claim(settings, request, stamp)
+    }
+
+    /// Gives a claim back whose request never reached an endpoint.
+    pub fn release(&mut self, key: RequestKey, attempt: &AttemptId) -> bool {
+        self.shard(key.0).0.release(key, attempt)
+    }
+
+    /// Stores the answer of a claimed request.
+    pub fn settle(
+        &mut self,
+        key: RequestKey,
+        attempt: &AttemptId,
+        answer: &StoredAnswer,
+        stamp: TimePoint,
+    ) -> SettleOutcome {
+        let (shard, settings) = self.shard(key.0);
+        shard.settle(settings, key, attempt, answer, stamp)
+    }
+
+    /// Marks a claimed request whose answer is lost.
+    pub fn give_up(&mut self, key: RequestKey, attempt: &AttemptId, stamp: TimePoint) -> bool {
+        self.shard(key.0).0.give_up(key, attempt, stamp)
+    }
+
+    /// Marks the running claims of all lives of `entry` before `incarnation`.
+    pub fn give_up_entry(&mut self, entry: &EntryId, incarnation: u64, stamp: TimePoint) -> usize {
+        self.shards
+            .iter_mut()
+            .map(|shard| shard.give_up_entry(entry, incarnation, stamp))
+            .sum()
+    }
+
+    /// Binds a session; the first binding wins.
+    pub fn bind(
+        &mut self,
+        session: SessionKey,
+        wish: &VersionId,
+        plan: &PlanView<'_>,
+        stamp: TimePoint,
+    ) -> BindOutcome {
+        let (shard, settings) = self.shard(session.0);
+        shard.expire(settings, stamp);
+        shard.bind(session, wish, plan, stamp)
+    }
+
+    /// Books a bill once.
+    pub fn bill(&mut self, bill: &BillRecord, stamp: TimePoint) -> BillOutcome {
+        let (shard, settings) = self.shard(bill.request.0);
+        shard.expire(settings, stamp);
+        if !shard.note_bill(bill.request, stamp) {
+            return BillOutcome::AlreadyBooked;
+        }
+        self.spend
+            .entry(bill.account.clone())
+            .or_default()
+            .add(bill);
+        BillOutcome::Booked
+    }
+
+    /// Sums of all bills.
+    pub fn spend(&self) -> &BTreeMap<SpendKey, SpendCell> {
+        &self.spend
+    }
+
+    /// Records in the ledger.
+    pub fn size(&self) -> LedgerSize {
+        let mut size = LedgerSize::default();
+        for shard in &self.shards {
+            size.claims += shard.claims.len();
+            size.bindings += shard.bindings.len();
+            size.bills += shard.bills.len();
+        }
+        size
+    }
+}
+
+impl LedgerShard {
+    fn claim(
+        &mut self,
+        settings: &LedgerSettings,
+        request: &ClaimRequest,
+        stamp: TimePoint,
+    ) -> ClaimOutcome {
+        self.notice_overdue(settings, request.key, stamp);
+        if let Some(record) = self.claims.get(&request.key) {
+            return record.answer(request);
+        }
+        if self.claims.len() >= settings.shard_claims {
+            return ClaimOutcome::Full;
+        }
+        let record = ClaimRecord::granted(request, stamp);
+        self.claims.insert(request.key, record);
+        self.running.insert(request.key);
+        self.due_claims.push_back((stamp, request.key));
+        ClaimOutcome::Granted
+    }
+
+    fn notice_overdue(&mut self, settings: &LedgerSettings, key: RequestKey, stamp: TimePoint) {
+        let overdue = self
+            .claims
+            .get(&key)
+            .filter(|record| stamp > record.deadline + settings.running_grace)
+            .map(|record| record.attempt.clone());
+        if let Some(attempt) = overdue {
+            self.give_up(key, &attempt, stamp);
+        }
+    }
+
+    fn held(&mut self, key: RequestKey, attempt: &AttemptId) -> Option<&mut ClaimRecord> {
+        self.claims
+            .get_mut(&key)
+            .filter(|record| record.attempt == *attempt)
+    }
+
+    fn release(&mut self, key: RequestKey, attempt: &AttemptId) -> bool {
+        let is_running = self
+            .held(key, attempt)
+            .is_some_and(|record| record.state == ClaimState::Running);
+        if is_running {
+            self.claims.remove(&key);
+            self.running.remove(&key);
+        }
+        is_running
+    }
+
+    fn settle(
+        &mut self,
+        settings: &LedgerSettings,
+        key: RequestKey,
+        attempt: &AttemptId,
+        answer: &StoredAnswer,
+        stamp: TimePoint,
+    ) -> SettleOutcome {
+        let Some(record) = self.held(key, attempt) else {
+            return SettleOutcome::NotHeld;
+        };
+        if matches!(record.state, ClaimState::Settled(_)) {
+            return SettleOutcome::AlreadySettled;
+        }
+        let mut stored = answer.clone();
+        stored.body = stored
+            .body
+            .filter(|body| body.len() <= settings.answer_bytes);
+        record.state = ClaimState::Settled(stored);
+        record.changed_at = stamp;
+        self.running.remove(&key);
+        self.due_answers.push_back((stamp, key));
+        SettleOutcome::Stored
+    }
+
+    fn give_up(&mut self, key: RequestKey, attempt: &AttemptId, stamp: TimePoint) -> bool {
+        let Some(record) = self.held(key, attempt) else {
+            return false;
+        };
+        if record.state != ClaimState::Running {
+            return false;
+        }
+        record.state = ClaimState::Unknown;
+        record.changed_at = stamp;
+        self.running.remove(&key);
+        true
+    }
+
+    fn give_up_entry(&mut self, entry: &EntryId, incarnation: u64, stamp: TimePoint) -> usize {
+        let is_gone =
+            |attempt: &AttemptId| attempt.entry == *entry && attempt.incarnation < incarnation;
+        let held: Vec<(RequestKey, AttemptId)> = self
+            .running
+            .iter()
+            .filter_map(|key| Some((*key, self.claims.get(key)?.attempt.clone())))
+            .filter(|(_, attempt)| is_gone(attempt))
+            .collect();
+        held.iter()
+            .filter(|(key, attempt)| self.give_up(*key, attempt, stamp))
+            .count()
+    }
+
+    fn bind(
+        &mut self,
+        session: SessionKey,
+        wish: &VersionId,
+        plan: &PlanView<'_>,
+        stamp: TimePoint,
+    ) -> BindOutcome {
+        if let Some(record) = self.bindings.get_mut(&session) {
+            record.used_at = stamp;
+            return record.resolve(plan);
+        }
+        if plan.is_withdrawn(wish) {
+            return BindOutcome::NotAllowed(wish.clone());
+        }
+        let record = BindingRecord {
+            version: wish.clone(),
+            used_at: stamp,
+        };
+        self.bindings.insert(session, record);
+        self.due_bindings.push_back((stamp, session));
+        BindOutcome::Bound(wish.clone())
+    }
+
+    fn note_bill(&mut self, key: RequestKey, stamp: TimePoint) -> bool {
+        let is_new = self.bills.insert(key);
+        if is_new {
+            self.due_bills.push_back((stamp, key));
+        }
+        is_new
+    }
+
+    fn expire(&mut self, settings: &LedgerSettings, stamp: TimePoint) {
+        for _ in 0..EXPIRIES_PER_COMMAND {
+            self.expire_answer(settings, stamp);
+            self.expire_claim(settings, stamp);
+            self.expire_binding(settings, stamp);
+            if let Some((_, key)) = pop_due(&mut self.due_bills, settings.bill_retention, stamp) {
+                self.bills.remove(&key);
+            }
+        }
+    }
+
+    fn expire_answer(&mut self, settings: &LedgerSettings, stamp: TimePoint) {
+        let due = pop_due(&mut self.due_answers, settings.answer_retention, stamp);
+        let record = due.and_then(|(_, key)| self.claims.get_mut(&key));
+        if let Some(ClaimRecord {
+            state: ClaimState::Settled(answer),
+            ..
+        }) = record
+        {
+            answer.body = None;
+        }
+    }
+
+    fn expire_claim(&mut self, settings: &LedgerSettings, stamp: TimePoint) {
+        let retention = settings.tombstone_retention;
+        let Some((_, key)) = pop_due(&mut self.due_claims, retention, stamp) else {
+            return;
+        };
+        self.notice_overdue(settings, key, stamp);
+        let Some(record) = self.claims.get(&key) else {
+            return;
+        };
+        let is_running = record.state == ClaimState::Running;
+        if is_running || stamp.since(record.changed_at) < retention {
+            let since = if is_running { stamp } else { record.changed_at };
+            self.due_claims.push_back((since, key));
+        } else {
+            self.claims.remove(&key);
+        }
+    }
+
+    fn expire_binding(&mut self, settings: &LedgerSettings, stamp: TimePoint) {
+        let retention = settings.session_retention;
+        let Some((_, key)) = pop_due(&mut self.due_bindings, retention, stamp) else {
+            return;
+        };
+        let Some(record) = self.bindings.get(&key) else {
+            return;
+        };
+        if stamp.since(record.used_at) < retention {
+            self.due_bindings.push_back((record.used_at, key));
+        } else {
+            self.bindings.remove(&key);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/pipe/intake.rs
@@ -0,0 +1,267 @@
+//! First filter: reads what a request asks for.
+
+use std::str::FromStr;
+use std::time::Duration;
+
+use super::refusal::{Refusal, RefusalCode};
+use crate::hash::content_hash;
+use crate::ids::{KindId, ServiceId, VersionId, WorkspaceId};
+use crate::plan::{PlanView, ServiceKind};
+use crate::time::TimePoint;
+
+/// Order in which waiting requests are served.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum RequestPriority {
+    /// Someone waits for it.
+    High,
+    /// The usual.
+    #[default]
+    Normal,
+    /// It can wait.
+    Low,
+}
+
+impl FromStr for RequestPriority {
+    type Err = ();
+
+    fn from_str(text: &str) -> Result<Self, ()> {
+        match text {
+            "high" => Ok(Self::High),
+            "normal" => Ok(Self::Normal),
+            "low" => Ok(Self::Low),
+            _ => Err(()),
+        }
+    }
+}
+
+/// Head of a request, as the HTTP adapter saw it.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RequestHead<'a> {
+    /// HTTP method.
+    pub method: &'a str,
+    /// Path after the service's prefix.
+    pub path: &'a str,
+    /// Service named in the path; empty for the chat-completions API.
+    pub service: &'a str,
+    /// `x-workspace`.
+    pub workspace: Option<&'a str>,
+    /// `x-kind`.
+    pub kind: Option<&'a str>,
+    /// `x-session`.
+    pub session: Option<&'a str>,
+    /// `x-priority`.
+    pub priority: Option<&'a str>,
+    /// `x-deadline-ms`.
+    pub deadline_ms: Option<&'a str>,
+    /// `idempotency-key`.
+    pub idempotency_key: Option<&'a str>,
+    /// `model` of a chat-completions request.
+    pub model: Option<&'a str>,
+    /// Body.
+    pub body: &'a [u8],
+    /// Prompt text of a chat-completions request.
+    pub prompt_bytes: usize,
+}
+
+/// Limits and defaults of requests.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TicketSettings {
+    /// Deadline of a request that names none.
+    pub default_deadline: Duration,
+    /// Latest deadline.
+    pub longest_deadline: Duration,
+    /// Longest session name and idempotency key, in bytes.
+    pub name_bytes: usize,
+    /// Kind of a request that names none.
+    pub default_kind: &'static str,
+    /// Bytes of prompt text that make a token, on average.
+    pub bytes_per_token: usize,
+}
+
+impl Default for TicketSettings {
+    fn default() -> Self {
+        Self {
+            default_deadline: Duration::from_mins(2),
+            longest_deadline: Duration::from_mins(15),
+            name_bytes: 256,
+            default_kind: "default",
+            bytes_per_token: 4,
+        }
+    }
+}
+
+/// What a request asks for.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RequestTicket {
+    /// Workspace that asks.
+    pub workspace: WorkspaceId,
+    /// Service; `None` where the version decides.
+    pub service: Option<ServiceId>,
+    /// Kind of request.
+    pub kind: KindId,
+    /// Session, where the request belongs to one.
+    pub session: Option<String>,
+    /// Version that the caller wishes.
+    pub wish: Option<VersionId>,
+    /// Model that the caller wishes, any version.
+    pub model_wish: Option<String>,
+    /// Priority.
+    pub priority: RequestPriority,
+    /// When it came.
+    pub arrived: TimePoint,
+    /// When the caller stops waiting.
+    pub deadline: TimePoint,
+    /// Idempotency key.
+    pub idempotency_key: Option<String>,
+    /// Whether it may be run again.
+    pub is_idempotent: bool,
+    /// Hash of method, path and body.
+    pub fingerprint: u128,
+    /// Prompt tokens, estimated.
+    pub input_tokens: u64,
+}
+
+/// Reads the ticket of a request.
+///
+/// # Errors
+/// [`Refusal`] naming the first thing that is wrong with the head.
+pub fn read_ticket(
+    now: TimePoint,
+    head: &RequestHead<'_>,
+    plan: &PlanView<'_>,
+    settings: &TicketSettings,
+) -> Result<RequestTicket, Refusal> {
+    let workspace = read_workspace(head, plan)?;
+    let service = read_service(head, plan)?;
+    let (wish, model_wish) = read_model(head, &workspace, plan)?;
+    let is_idempotent = service
+        .as_ref()
+        .and_then(|id| plan.service(id))
+        .is_none_or(|rule| rule.is_idempotent(head.method, head.path));
+    Ok(RequestTicket {
+        kind: read_id("x-kind", head.kind.unwrap_or(settings.default_kind))?,
+        session: read_name("x-session", head.session, settings)?,
+        priority: read_priority(head)?,
+        arrived: now,
+        deadline: now + read_deadline(head, settings)?,
+        idempotency_key: read_name("idempotency-key", head.idempotency_key, settings)?,
+        fingerprint: fingerprint(head),
+        input_tokens: (head.prompt_bytes / settings.bytes_per_token) as u64,
+        workspace,
+        service,
+        wish,
+        model_wish,
+        is_idempotent,
+    })
+}
+
+fn bad_request(message: String) -> Refusal {
+    Refusal::not_run(RefusalCode::BadRequest, message)
+}
+
+fn read_id<T: FromStr<Err = crate::ids::IdError>>(what: &str, text: &str) -> Result<T, Refusal> {
+    text.parse()
+        .map_err(|error| bad_request(format!("{what}: {error}")))
+}
+
+fn read_workspace(head: &RequestHead<'_>, plan: &PlanView<'_>) -> Result<WorkspaceId, Refusal> {
+    let text = head.workspace.ok_or_else(|| {
+        Refusal::not_run(RefusalCode::NoWorkspace, "header x-workspace is missing")
+    })?;
+    let workspace: WorkspaceId = read_id("x-workspace", text)?;
+    if plan.workspace(&workspace).is_none() {
+        return Err(Refusal::not_run(
+            RefusalCode::UnknownWorkspace,
+            format!("workspace {workspace} is not declared"),
+        ));
+    }
+    Ok(workspace)
+}
+
+fn read_service(head: &RequestHead<'_>, plan: &PlanView<'_>) -> Result<Option<ServiceId>, Refusal> {
+    if head.service.is_empty() {
+        return Ok(None);
+    }
+    let service: ServiceId = read_id("service", head.service)?;
+    match plan.service(&service) {
+        Some(rule) if rule.kind == ServiceKind::Plain => Ok(Some(service)),
+        _ => Err(Refusal::not_run(
+            RefusalCode::UnknownService,
+            format!("{service} is no declared plain service"),
+        )),
+    }
+}
+
+type ModelWish = (Option<VersionId>, Option<String>);
+
+fn read_model(
+    head: &RequestHead<'_>,
+    workspace: &WorkspaceId,
+    plan: &PlanView<'_>,
+) -> Result<ModelWish, Refusal> {
+    match head.model {
+        None | Some("" | "auto") => Ok((None, None)),
+        Some(text) if text.contains('@') => {
+            let version: VersionId = read_id("model", text)?;
+            check_wish(&version, workspace, plan)?;
+            Ok((Some(version), None))
+        }
+        Some(model) => Ok((None, Some(model.to_owned()))),
+    }
+}
+
+fn check_wish(
+    version: &VersionId,
+    workspace: &WorkspaceId,
+    plan: &PlanView<'_>,
+) -> Result<(), Refusal> {
+    if !plan.is_allowed(workspace, version) {
+        return Err(Refusal::not_run(
+            RefusalCode::VersionNotAllowed,
+            format!("workspace {workspace} may not use {version}"),
+        ));
+    }
+    Ok(())
+}
+
+fn read_priority(head: &RequestHead<'_>) -> Result<RequestPriority, Refusal> {
+    let Some(text) = head.priority else {
+        return Ok(RequestPriority::default());
+    };
+    text.parse()
+        .map_err(|()| bad_request(format!("x-priority is {text:?}; write high, normal or low")))
+}
+
+fn read_deadline(head: &RequestHead<'_>, settings: &TicketSettings) -> Result<Duration, Refusal> {
+    let Some(text) = head.deadline_ms else {
+        return Ok(settings.default_deadline);
+    };
+    let millis: u64 = text.parse().map_err(|_| {
+        bad_request(format!(
+            "x-deadline-ms is {text:?}; write whole milliseconds"
+        ))
+    })?;
+    Ok(Duration::from_millis(millis).min(settings.longest_deadline))
+}
+
+fn read_name(
+    what: &str,
+    text: Option<&str>,
+    settings: &TicketSettings,
+) -> Result<Option<String>, Refusal> {
+    match text {
+        Some("") => Err(bad_request(format!("{what} is empty"))),
+        Some(name) if name.len() > settings.name_bytes => Err(bad_request(format!(
+            "{what} has {} bytes, at most {} are allowed",
+            name.len(),
+            settings.name_bytes
+        ))),
+        other => Ok(other.map(str::to_owned)),
+    }
+}
+
+fn fingerprint(head: &RequestHead<'_>) -> u128 {
+    let mut text = format!("{} {}\u{0}", head.method, head.path).into_bytes();
+    text.extend_from_slice(head.body);
+    content_hash(&text)
+}
--- /dev/null
+++ b/crates/core/src/plan/mod.rs
@@ -0,0 +1,23 @@
+//! What operators declare, and what is in force of it.
+
+mod change;
+mod check;
+mod declaration;
+mod diff;
+mod finding;
+mod rollout;
+mod view;
+
+pub use change::{
+    CHANGE_HISTORY, ChangeOutcome, PlanChange, PlanState, PlanUpdate, SubmittedChange,
+    SubmittedContent,
+};
+pub use check::check_declaration;
+pub use declaration::{
+    DomainRule, EndpointTrust, MethodRule, OutageWindow, PlanDeclaration, QualityTarget,
+    RolloutRule, RolloutStep, ServiceKind, ServiceRule, VersionRule, WorkspaceRule,
+};
+pub use diff::{DeclarationPatch, describe_patch};
+pub use finding::{PlanFinding, SheetPlace};
+pub use rollout::{RolloutPhase, RolloutProgress};
+pub use view::PlanView;
--- /dev/null
+++ b/crates/core/src/state/eject.rs
@@ -0,0 +1,120 @@
+//! Ejection of endpoints that fail or are slow, with hysteresis and a cap.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use crate::ids::EndpointId;
+use crate::time::TimePoint;
+
+/// When an endpoint is ejected and when it returns.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EjectSettings {
+    /// Share of failures at which an endpoint is ejected.
+    pub enter_share: f64,
+    /// Share of failures below which an endpoint may return.
+    pub leave_share: f64,
+    /// Answers before an endpoint is judged.
+    pub min_answers: f64,
+    /// Answers that the share remembers.
+    pub memory: f64,
+    /// First stay outside, doubled with each ejection in a row.
+    pub stay: Duration,
+    /// Longest stay outside.
+    pub longest_stay: Duration,
+    /// Share of a service's endpoints that may be ejected at once.
+    pub ejected_share: f64,
+}
+
+impl Default for EjectSettings {
+    fn default() -> Self {
+        Self {
+            enter_share: 0.5,
+            leave_share: 0.25,
+            min_answers: 4.0,
+            memory: 10.0,
+            stay: Duration::from_secs(3),
+            longest_stay: Duration::from_secs(48),
+            ejected_share: 0.3,
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct EndpointHealth {
+    failed: f64,
+    count: f64,
+    ejections: u32,
+    out_until: Option<TimePoint>,
+}
+
+/// Health of endpoints as this entry sees it.
+#[derive(Clone, Debug, Default)]
+pub struct EjectionBook {
+    settings: EjectSettings,
+    health: HashMap<EndpointId, EndpointHealth>,
+}
+
+impl EjectionBook {
+    /// An empty book.
+    pub fn new(settings: EjectSettings) -> Self {
+        Self {
+            settings,
+            ..Self::default()
+        }
+    }
+
+    /// Whether `endpoint` is ejected now.
+    pub fn is_ejected(&self, now: TimePoint, endpoint: &EndpointId) -> bool {
+        self.health
+            .get(endpoint)
+            .and_then(|health| health.out_until)
+            .is_some_and(|until| now < until)
+    }
+
+    /// Notes an answer of `endpoint`, one of `peers` endpoints of its service. Returns whether
+    /// the endpoint is ejected by it.
+    pub fn observe(
+        &mut self,
+        now: TimePoint,
+        endpoint: &EndpointId,
+        has_failed: bool,
+        peers: usize,
+    ) -> bool {
+        let ejected = self.ejected(now);
+        let settings = &self.settings;
+        let health = self.health.entry(endpoint.clone()).or_default();
+        let keep = 1.0 - 1.0 / settings.memory;
+        health.count = health.count * keep + 1.0;
+        health.failed = health.failed * keep + f64::from(u8::from(has_failed));
+        let share = health.failed / health.count;
+        if health.out_until.is_some_and(|until| now < until) {
+            return false;
+        }
+        if share < settings.leave_share {
+            health.ejections = 0;
+            health.out_until = None;
+        }
+        let has_room = (ejected + 1) as f64 <= peers as f64 * settings.ejected_share;
+        let is_bad = has_failed && share >= settings.enter_share;
+        if !is_bad || health.count < settings.min_answers || !has_room {
+            return false;
+        }
+        let factor = 2_u32.saturating_pow(health.ejections.min(8));
+        let stay = (settings.stay * factor).min(settings.longest_stay);
+        health.out_until = Some(now + stay);
+        health.ejections += 1;
+        true
+    }
+
+    fn ejected(&self, now: TimePoint) -> usize {
+        self.health
+            .values()
+            .filter(|health| health.out_until.is_some_and(|until| now < until))
+            .count()
+    }
+
+    /// Forgets an endpoint.
+    pub fn forget(&mut self, endpoint: &EndpointId) {
+        self.health.remove(endpoint);
+    }
+}
--- /dev/null
+++ b/crates/core/src/state/keeper.rs
@@ -0,0 +1,340 @@
+//! The state machine that the keepers replicate.
+
+use serde::{Deserialize, Serialize};
+
+use super::evidence::{EvidenceBook, EvidenceSettings};
+use super::orders::{FenceBook, FenceLease};
+use super::quality::{QualityBook, QualitySettings, RatingRecord, RouteArm};
+use crate::ids::{EntryId, RolloutId, ServiceId, VersionId};
+use crate::ledger::{
+    AttemptId, BillOutcome, BillRecord, BindOutcome, ClaimOutcome, ClaimRequest, LedgerState,
+    RequestKey, SessionKey, SettleOutcome, StoredAnswer,
+};
+use crate::plan::{
+    ChangeOutcome, PlanChange, PlanState, PlanView, RolloutPhase, RolloutProgress, RolloutRule,
+    SubmittedChange, SubmittedContent,
+};
+use crate::time::TimePoint;
+
+/// Operator name under which the system records its own changes.
+const SYSTEM_OPERATOR: &str = "system";
+
+/// A command of the state machine.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum KeeperCommand {
+    /// Changes the plan.
+    Submit(Box<SubmittedChange>),
+    /// Claims the right to run a request.
+    Claim(ClaimRequest),
+    /// Gives back a claim whose request never reached an endpoint.
+    Release {
+        /// Key of the request.
+        key: RequestKey,
+        /// Attempt that holds the claim.
+        attempt: AttemptId,
+    },
+    /// Stores the answer of a claimed request and books its bill in one step.
+    Settle {
+        /// Key of the request.
+        key: RequestKey,
+        /// Attempt that holds the claim.
+        attempt: AttemptId,
+        /// The answer.
+        answer: StoredAnswer,
+        /// The bill.
+        bill: BillRecord,
+    },
+    /// Marks a claimed request whose answer is lost.
+    GiveUp {
+        /// Key of the request.
+        key: RequestKey,
+        /// Attempt that holds the claim.
+        attempt: AttemptId,
+    },
+    /// Binds a session to a version; the first binding wins.
+    Bind {
+        /// The session.
+        session: SessionKey,
+        /// Version to bind to where the session is new.
+        wish: VersionId,
+    },
+    /// Books a bill.
+    Bill(BillRecord),
+    /// Adds ratings.
+    Rate(Vec<RatingRecord>),
+    /// An entry's lease is over, or a new life of it has begun.
+    EntryGone {
+        /// The entry.
+        entry: EntryId,
+        /// Lives below this one are over.
+        incarnation: u64,
+    },
+    /// Takes or renews the right to give orders.
+    Fence {
+        /// Service.
+        service: ServiceId,
+        /// Entry that asks.
+        entry: EntryId,
+        /// Life of that entry.
+        incarnation: u64,
+    },
+    /// Lets time pass: roll-outs whose step is done move on.
+    Tick,
+    /// Several commands, applied in order.
+    Batch(Vec<Self>),
+}
+
+/// A command with the leader's Unix time.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct StampedCommand {
+    /// When the leader took it.
+    pub stamp: TimePoint,
+    /// The command.
+    pub command: KeeperCommand,
+}
+
+/// Answer to a command.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum KeeperOutcome {
+    /// Answer to [`KeeperCommand::Submit`].
+    Change(ChangeOutcome),
+    /// Answer to [`KeeperCommand::Claim`].
+    Claim(ClaimOutcome),
+    /// Answer to [`KeeperCommand::Settle`].
+    Settle(SettleOutcome, BillOutcome),
+    /// Answer to [`KeeperCommand::Bind`].
+    Bind(BindOutcome),
+    /// Answer to [`KeeperCommand::Bill`].
+    Bill(BillOutcome),
+    /// Answer to [`KeeperCommand::Fence`]; `None` while another holder's fence runs.
+    Fence(Option<FenceLease>),
+    /// Answer to commands that always succeed; whether anything changed.
+    Done(bool),
+    /// Answers to [`KeeperCommand::Batch`].
+    Batch(Vec<Self>),
+}
+
+/// Everything that the keepers agree on.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct KeeperState {
+    /// The plan.
+    pub plan: PlanState,
+    /// Claims, bindings and bills.
+    pub ledger: LedgerState,
+    /// Ratings.
+    pub quality: QualityBook,
+    /// Sequential tests.
+    pub evidence: EvidenceBook,
+    /// Rights to give orders.
+    pub fences: FenceBook,
+    /// Newest stamp: time never goes back here, whatever a new leader's clock says.
+    pub clock: TimePoint,
+}
+
+impl KeeperState {
+    /// Applies a command.
+    pub fn apply(&mut self, stamped: &StampedCommand) -> KeeperOutcome {
+        self.clock = self.clock.max(stamped.stamp);
+        self.run(&stamped.command)
+    }
+
+    fn run(&mut self, command: &KeeperCommand) -> KeeperOutcome {
+        let stamp = self.clock;
+        match command {
+            KeeperCommand::Submit(change) => KeeperOutcome::Change(self.plan.submit(change, stamp)),
+            KeeperCommand::Claim(request) => {
+                KeeperOutcome::Claim(self.ledger.claim(request, stamp))
+            }
+            KeeperCommand::Release { key, attempt } => {
+                KeeperOutcome::Done(self.ledger.release(*key, attempt))
+            }
+            KeeperCommand::Settle {
+                key,
+                attempt,
+                answer,
+                bill,
+            } => {
+                let settled = self.ledger.settle(*key, attempt, answer, stamp);
+                let billed = match settled {
+                    SettleOutcome::NotHeld => BillOutcome::AlreadyBooked,
+                    _ => self.ledger.bill(bill, stamp),
+                };
+                KeeperOutcome::Settle(settled, billed)
+            }
+            KeeperCommand::GiveUp { key, attempt } => {
+                KeeperOutcome::Done(self.ledger.give_up(*key, attempt, stamp))
+            }
+            KeeperCommand::Bind { session, wish } => {
+                let view = PlanView::new(&self.plan, stamp);
+                KeeperOutcome::Bind(self.ledger.bind(*session, wish, &view, stamp))
+            }
+            KeeperCommand::Bill(bill) => KeeperOutcome::Bill(self.ledger.bill(bill, stamp)),
+            KeeperCommand::Rate(ratings) => {
+                for rating in ratings {
+                    self.rate(rating);
+                }
+                KeeperOutcome::Done(true)
+            }
+            KeeperCommand::EntryGone { entry, incarnation } => {
+                let lost = self.ledger.give_up_entry(entry, *incarnation, stamp);
+                KeeperOutcome::Done(lost > 0)
+            }
+            KeeperCommand::Fence {
+                service,
+                entry,
+                incarnation,
+            } => KeeperOutcome::Fence(self.fences.acquire(service, entry, *incarnation, stamp)),
+            KeeperCommand::Tick => KeeperOutcome::Done(self.advance_rollouts()),
+            KeeperCommand::Batch(commands) => {
+                KeeperOutcome::Batch(commands.iter().map(|c| self.run(c)).collect())
+            }
+        }
+    }
+
+    fn submit_own(&mut self, change: PlanChange) {
+        let submitted = SubmittedChange {
+            operator: SYSTEM_OPERATOR.to_owned(),
+            base: None,
+            content: SubmittedContent::Change(change),
+        };
+        self.plan.submit(&submitted, self.clock);
+    }
+
+    fn declared_quality(&self, version: &VersionId) -> f64 {
+        self.plan
+            .declaration
+            .versions
+            .get(version)
+            .map_or(0.5, |rule| rule.prior_quality)
+    }
+
+    fn rate(&mut self, rating: &RatingRecord) {
+        let declared = self.declared_quality(&rating.answered_by);
+        self.quality.add(rating, &QualitySettings::default());
+        let is_bad = self
+            .evidence
+            .add(rating, declared, &EvidenceSettings::default());
+        let is_known = self.plan.quarantined.contains_key(&rating.answered_by)
+            || self.plan.is_withdrawn(&rating.answered_by);
+        if is_bad && !is_known {
+            self.quarantine(&rating.answered_by);
+        }
+    }
+
+    fn quarantine(&mut self, version: &VersionId) {
+        let seen = self
+            .evidence
+            .get(version)
+            .and_then(super::evidence::VersionEvidence::mean);
+        let reason = format!("quality fell to {:.2}", seen.unwrap_or_default());
+        self.evidence.reset(version);
+        self.quality.forget(version);
+        self.submit_own(PlanChange::Quarantine {
+            version: version.clone(),
+            reason: reason.clone(),
+        });
+        let affected: Vec<(RolloutId, usize)> = self
+            .plan
+            .declaration
+            .rollouts
+            .iter()
+            .filter(|(_, rule)| rule.to == *version)
+            .filter_map(|(id, _)| Some((id.clone(), self.plan.rollouts.get(id)?.step)))
+            .collect();
+        for (rollout, step) in affected {
+            self.enter(rollout, step, RolloutPhase::RolledBack, &reason);
+        }
+    }
+
+    fn enter(&mut self, rollout: RolloutId, step: usize, phase: RolloutPhase, reason: &str) {
+        let progress = RolloutProgress {
+            step,
+            phase,
+            since: self.clock,
+            reason: reason.to_owned(),
+        };
+        self.submit_own(PlanChange::Rollout { rollout, progress });
+    }
+
+    /// Whether [`KeeperCommand::Tick`] would change anything now.
+    pub fn has_due_rollout(&self, stamp: TimePoint) -> bool {
+        self.due_rollout(stamp).is_some()
+    }
+
+    fn due_rollout(&self, stamp: TimePoint) -> Option<(RolloutId, RolloutProgress)> {
+        let rules = &self.plan.declaration.rollouts;
+        rules.iter().find_map(|(id, rule)| {
+            let progress = self.plan.rollouts.get(id)?;
+            let next = self.next_progress(rule, progress, stamp)?;
+            Some((id.clone(), next))
+        })
+    }
+
+    fn next_progress(
+        &self,
+        rule: &RolloutRule,
+        progress: &RolloutProgress,
+        stamp: TimePoint,
+    ) -> Option<RolloutProgress> {
+        if progress.phase != RolloutPhase::Advancing {
+            return None;
+        }
+        let step = rule.steps.get(progress.step)?;
+        let evidence = self.evidence.get(&rule.to);
+        let count = evidence.map_or(0.0, |e| e.count);
+        let is_held = stamp.since(progress.since) >= step.hold;
+        if !is_held || count < f64::from(step.min_ratings) {
+            return None;
+        }
+        let new_mean = evidence
+            .and_then(super::evidence::VersionEvidence::mean)
+            .unwrap_or_default();
+        let old_mean = self.long_run_quality(&rule.from);
+        let is_last = progress.step + 1 >= rule.steps.len();
+        let (step, phase) = if is_good_enough(new_mean, old_mean, count) {
+            if is_last {
+                (progress.step, RolloutPhase::Complete)
+            } else {
+                (progress.step + 1, RolloutPhase::Advancing)
+            }
+        } else {
+            (progress.step, RolloutPhase::RolledBack)
+        };
+        Some(RolloutProgress {
+            step,
+            phase,
+            since: stamp,
+            reason: format!("quality {new_mean:.2} against {old_mean:.2}"),
+        })
+    }
+
+    fn long_run_quality(&self, version: &VersionId) -> f64 {
+        let cell = self
+            .quality
+            .pooled_over_kinds(&RouteArm::Single(version.clone()));
+        if cell.count >= 20.0 {
+            cell.good / cell.count
+        } else {
+            self.declared_quality(version)
+        }
+    }
+
+    fn advance_rollouts(&mut self) -> bool {
+        let mut has_changed = false;
+        while let Some((id, progress)) = self.due_rollout(self.clock) {
+            has_changed = true;
+            if let Some(rule) = self.plan.declaration.rollouts.get(&id) {
+                let version = rule.to.clone();
+                self.evidence.reset(&version);
+            }
+            self.enter(id, progress.step, progress.phase, &progress.reason);
+        }
+        has_changed
+    }
+}
+
+/// Whether the new mean lies no further below the old one than tolerance and noise explain.
+fn is_good_enough(new_mean: f64, old_mean: f64, count: f64) -> bool {
+    let noise = (old_mean * (1.0 - old_mean) / count.max(1.0)).sqrt();
+    new_mean + noise >= old_mean - EvidenceSettings::default().rollout_tolerance
+}
--- /dev/null
+++ b/crates/entry/src/gateway.rs
@@ -0,0 +1,341 @@
+//! The HTTP door of an entry: for callers, endpoints, operators and the balancer.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response};
+use serde::Serialize;
+use serde_json::Value;
+
+use chestnutloft_core::pipe::{
+    Refusal, RefusalCode, RequestHead, RequestTicket, RouterState, read_ticket,
+};
+use chestnutloft_core::state::{CacheEvent, EndpointAnnouncement, MergeOutcome};
+use chestnutloft_wire::auth::{bearer_key, fits_any};
+use chestnutloft_wire::clock;
+use chestnutloft_wire::http::{
+    AnyBody, ReadError, header, json_response, read_body, text_response,
+};
+
+use crate::chat::{self, ChatRequest};
+use crate::context::EntryContext;
+use crate::plain::{self, PlainRequest};
+use crate::refuse::response_of;
+
+/// Largest announcement or cache event, in bytes.
+const MAX_ANNOUNCEMENT_BYTES: usize = 256 * 1024;
+/// Path prefix of plain services.
+const SERVICE_PREFIX: &str = "/svc/";
+/// Path prefix of decisions.
+const EXPLAIN_PREFIX: &str = "/operator/v1/explain/";
+/// Versions that one announcement may name.
+const MAX_ANNOUNCED_VERSIONS: usize = 256;
+
+#[derive(Serialize)]
+struct AnnounceReply {
+    outcome: &'static str,
+}
+
+/// Answers one request.
+pub async fn answer(context: Arc<EntryContext>, request: Request<Incoming>) -> Response<AnyBody> {
+    let path = request.uri().path();
+    match (request.method(), path) {
+        (&Method::POST, "/v1/chat/completions") => answer_chat(context, request).await,
+        (_, path) if path.starts_with(SERVICE_PREFIX) => answer_plain(context, request).await,
+        (&Method::POST, "/endpoint/v1/announce") => announce(&context, request).await,
+        (&Method::POST, "/endpoint/v1/cache-events") => cache_event(&context, request).await,
+        (&Method::GET, "/healthz") => text_response(200, "ok\n"),
+        (&Method::GET, "/readyz") => ready(&context),
+        (&Method::GET, "/metrics") => text_response(200, crate::daemon::metrics_page()),
+        (&Method::GET, path) if path.starts_with("/operator/") => operator(&context, &request),
+        _ => text_response(404, "not found\n"),
+    }
+}
+
+fn ready(context: &EntryContext) -> Response<AnyBody> {
+    if context.is_ready() {
+        text_response(200, "ready\n")
+    } else {
+        text_response(503, "not ready\n")
+    }
+}
+
+fn operator(context: &EntryContext, request: &Request<Incoming>) -> Response<AnyBody> {
+    let hashes = &context.settings.operator_key_hashes;
+    let key = bearer_key(header(request, "authorization"));
+    if !hashes.is_empty() && !key.is_some_and(|key| fits_any(key, hashes)) {
+        return text_response(401, "the operator key does not fit\n");
+    }
+    let path = request.uri().path();
+    if let Some(id) = path.strip_prefix(EXPLAIN_PREFIX) {
+        return match context.explain.get(id) {
+            Some(record) => json_response(200, &record),
+            None => text_response(404, format!("no decision about {id} is kept here\n")),
+        };
+    }
+    if path == "/operator/v1/endpoints" {
+        let router = context.router();
+        let now = clock::now();
+        let records: Vec<_> = router.registry.all(now).map(|(record, _)| record).collect();
+        return json_response(200, &records);
+    }
+    text_response(404, "not found\n")
+}
+
+fn body_refusal(error: &ReadError, limit: usize) -> Refusal {
+    match error {
+        ReadError::TooLarge => Refusal::not_run(
+            RefusalCode::TooLarge,
+            format!("the body is larger than {limit} bytes"),
+        ),
+        ReadError::Cut(why) => {
+            Refusal::not_run(RefusalCode::BadRequest, format!("the body was cut: {why}"))
+        }
+    }
+}
+
+async fn answer_chat(context: Arc<EntryContext>, request: Request<Incoming>) -> Response<AnyBody> {
+    match read_chat(&context, request).await {
+        Ok(chat) => chat::answer(context, chat).await,
+        Err(refusal) => response_of(&refusal),
+    }
+}
+
+/// Values of the documented headers.
+#[derive(Debug, Default)]
+struct CallerHeaders {
+    workspace: Option<String>,
+    kind: Option<String>,
+    session: Option<String>,
+    priority: Option<String>,
+    deadline_ms: Option<String>,
+    idempotency_key: Option<String>,
+    key: Option<String>,
+}
+
+impl CallerHeaders {
+    fn read(request: &Request<Incoming>) -> Self {
+        let value = |name| header(request, name).map(str::to_owned);
+        Self {
+            workspace: value("x-workspace"),
+            kind: value("x-kind"),
+            session: value("x-session"),
+            priority: value("x-priority"),
+            deadline_ms: value("x-deadline-ms"),
+            idempotency_key: value("idempotency-key"),
+            key: bearer_key(header(request, "authorization")).map(str::to_owned),
+        }
+    }
+
+    fn head(&self) -> RequestHead<'_> {
+        RequestHead {
+            workspace: self.workspace.as_deref(),
+            kind: self.kind.as_deref(),
+            session: self.session.as_deref(),
+            priority: self.priority.as_deref(),
+            deadline_ms: self.deadline_ms.as_deref(),
+            idempotency_key: self.idempotency_key.as_deref(),
+            ..RequestHead::default()
+        }
+    }
+}
+
+/// Reads the ticket, checks the workspace's key and admits the request.
+fn admit(
+    context: &EntryContext,
+    head: &RequestHead<'_>,
+    key: Option<&str>,
+) -> Result<RequestTicket, Refusal> {
+    context.check_may_start()?;
+    let now = clock::now();
+    let wall_now = clock::wall_now();
+    let mut router = context.router();
+    let ticket = read_ticket(now, head, &router.view(wall_now), &router.settings.ticket)?;
+    check_key(&router, &ticket, key)?;
+    router.admit(now, wall_now, &ticket)?;
+    Ok(ticket)
+}
+
+fn check_key(
+    router: &RouterState,
+    ticket: &RequestTicket,
+    key: Option<&str>,
+) -> Result<(), Refusal> {
+    let workspaces = &router.plan.declaration.workspaces;
+    let hashes = match workspaces.get(&ticket.workspace) {
+        Some(rule) => rule.key_hashes.as_slice(),
+        None => &[],
+    };
+    if hashes.is_empty() || key.is_some_and(|key| fits_any(key, hashes)) {
+        return Ok(());
+    }
+    let message = format!("the key does not fit workspace {}", ticket.workspace);
+    Err(Refusal::not_run(RefusalCode::BadKey, message))
+}
+
+async fn read_chat(
+    context: &EntryContext,
+    request: Request<Incoming>,
+) -> Result<ChatRequest, Refusal> {
+    let limit = context.settings.body_bytes;
+    let headers = CallerHeaders::read(&request);
+    let bytes = read_body(request.into_body(), limit)
+        .await
+        .map_err(|error| body_refusal(&error, limit))?;
+    let bad = |why: String| Refusal::not_run(RefusalCode::BadRequest, why);
+    let body: Value =
+        serde_json::from_slice(&bytes).map_err(|error| bad(format!("the body: {error}")))?;
+    let prompt = prompt_of(&body).ok_or_else(|| bad("field messages is missing".to_owned()))?;
+    let head = RequestHead {
+        method: "POST",
+        path: "/v1/chat/completions",
+        model: body["model"].as_str(),
+        body: &bytes,
+        prompt_bytes: prompt.len(),
+        ..headers.head()
+    };
+    let ticket = admit(context, &head, headers.key.as_deref())?;
+    let attempt = context.next_attempt();
+    Ok(ChatRequest {
+        request_id: context.request_id(&attempt),
+        is_streamed: body["stream"].as_bool().unwrap_or(false),
+        priority: headers.priority.unwrap_or_else(|| "normal".to_owned()),
+        ticket,
+        body,
+        prompt,
+    })
+}
+
+/// Text of all messages, in order.
+fn prompt_of(body: &Value) -> Option<String> {
+    let messages = body["messages"].as_array()?;
+    let mut prompt = String::new();
+    for message in messages {
+        prompt.push_str(message["role"].as_str().unwrap_or_default());
+        prompt.push('\n');
+        prompt.push_str(message["content"].as_str().unwrap_or_default());
+        prompt.push('\n');
+    }
+    Some(prompt)
+}
+
+async fn answer_plain(context: Arc<EntryContext>, request: Request<Incoming>) -> Response<AnyBody> {
+    match read_plain(&context, request).await {
+        Ok(plain) => plain::answer(context, plain).await,
+        Err(refusal) => response_of(&refusal),
+    }
+}
+
+async fn read_plain(
+    context: &EntryContext,
+    request: Request<Incoming>,
+) -> Result<PlainRequest, Refusal> {
+    let limit = context.settings.body_bytes;
+    let headers = CallerHeaders::read(&request);
+    let (parts, body) = request.into_parts();
+    let target = parts
+        .uri
+        .path_and_query()
+        .map_or("/", |target| target.as_str());
+    let rest = target.strip_prefix(SERVICE_PREFIX).unwrap_or_default();
+    let (service, path) = rest.split_once('/').unwrap_or((rest, ""));
+    let path = format!("/{path}");
+    let bytes: Bytes = read_body(body, limit)
+        .await
+        .map_err(|error| body_refusal(&error, limit))?;
+    let head = RequestHead {
+        method: parts.method.as_str(),
+        path: &path,
+        service,
+        body: &bytes,
+        ..headers.head()
+    };
+    let ticket = admit(context, &head, headers.key.as_deref())?;
+    let pool = RouterState::pool_for(None, ticket.service.as_ref()).ok_or_else(|| {
+        Refusal::not_run(RefusalCode::UnknownService, "the path names no service")
+    })?;
+    let attempt = context.next_attempt();
+    Ok(PlainRequest {
+        request_id: context.request_id(&attempt),
+        attempt,
+        pool,
+        method: parts.method,
+        path,
+        headers: parts.headers,
+        body: bytes,
+        ticket,
+    })
+}
+
+async fn read_announcement<T: serde::de::DeserializeOwned>(
+    request: Request<Incoming>,
+) -> Result<T, Response<AnyBody>> {
+    let body = read_body(request.into_body(), MAX_ANNOUNCEMENT_BYTES)
+        .await
+        .map_err(|error| response_of(&body_refusal(&error, MAX_ANNOUNCEMENT_BYTES)))?;
+    serde_json::from_slice(&body).map_err(|error| {
+        let refusal = Refusal::not_run(RefusalCode::BadRequest, error.to_string());
+        response_of(&refusal)
+    })
+}
+
+async fn announce(context: &EntryContext, request: Request<Incoming>) -> Response<AnyBody> {
+    let announcement: EndpointAnnouncement = match read_announcement(request).await {
+        Ok(announcement) => announcement,
+        Err(refusal) => return refusal,
+    };
+    if let Some(problem) = announcement_problem(context, &announcement) {
+        return response_of(&Refusal::not_run(RefusalCode::BadRequest, problem));
+    }
+    let endpoint = announcement.endpoint.clone();
+    let outcome = context.router().announce(clock::now(), announcement);
+    let outcome = match outcome {
+        MergeOutcome::Added => {
+            spdlog::info!("registry: endpoint {endpoint} announces itself.");
+            "added"
+        }
+        MergeOutcome::Reborn => {
+            spdlog::info!("registry: endpoint {endpoint} has restarted.");
+            "reborn"
+        }
+        MergeOutcome::Updated => "updated",
+        MergeOutcome::Stale => "stale",
+    };
+    json_response(200, &AnnounceReply { outcome })
+}
+
+/// An announcement adds capacity for what the plan declares, and changes nothing else.
+fn announcement_problem(
+    context: &EntryContext,
+    announcement: &EndpointAnnouncement,
+) -> Option<String> {
+    if announcement.versions.len() > MAX_ANNOUNCED_VERSIONS {
+        return Some(format!(
+            "at most {MAX_ANNOUNCED_VERSIONS} versions are taken"
+        ));
+    }
+    if announcement
+        .address
+        .parse::<std::net::SocketAddr>()
+        .is_err()
+    {
+        return Some(format!("address {:?} is no IP:port", announcement.address));
+    }
+    let router = context.router();
+    let declaration = &router.plan.declaration;
+    if router.plan.revision > 0 && !declaration.services.contains_key(&announcement.service) {
+        return Some(format!("service {} is not declared", announcement.service));
+    }
+    None
+}
+
+async fn cache_event(context: &EntryContext, request: Request<Incoming>) -> Response<AnyBody> {
+    let event: CacheEvent = match read_announcement(request).await {
+        Ok(event) => event,
+        Err(refusal) => return refusal,
+    };
+    let is_new = context.router().take_cache_event(&event);
+    let outcome = if is_new { "updated" } else { "stale" };
+    json_response(200, &AnnounceReply { outcome })
+}
--- /dev/null
+++ b/crates/keeper/src/daemon.rs
@@ -0,0 +1,229 @@
+//! Puts a keeper together.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ractor::{Actor, ActorRef};
+use tokio::net::TcpListener;
+use tokio::sync::{oneshot, watch};
+use tokio::task::JoinHandle;
+
+use chestnutloft_core::consensus::{MemberConfig, ReplicaCore, ReplicaId};
+use chestnutloft_core::time::TimePoint;
+use chestnutloft_wire::auth::cluster_proof;
+use chestnutloft_wire::message::{BeatReply, ReplicateCall, RunCall, RunReply};
+use chestnutloft_wire::rpc::{self, CallAnswer, CallHandler, Method, Status};
+use chestnutloft_wire::rpc_client::PeerCaller;
+use chestnutloft_wire::{clock, http};
+
+use crate::actor::{ReplicaActor, ReplicaArguments, ReplicaMessage};
+use crate::operator::OperatorDoor;
+use crate::settings::KeeperSettings;
+use crate::storage::{DataFolder, StorageError};
+
+/// Time that open operator requests get at shutdown.
+const SHUTDOWN_PATIENCE: Duration = Duration::from_secs(2);
+
+/// Why a keeper could not start.
+#[derive(Debug)]
+pub enum StartError {
+    /// The data folder cannot be used.
+    Storage(StorageError),
+    /// An address cannot be listened on, or a thread not be started.
+    Io(String, std::io::Error),
+    /// The actor could not start.
+    Actor(String),
+}
+
+impl fmt::Display for StartError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Storage(error) => error.fmt(f),
+            Self::Io(what, error) => write!(f, "{what}: {error}"),
+            Self::Actor(why) => write!(f, "the replica could not start: {why}"),
+        }
+    }
+}
+
+impl std::error::Error for StartError {}
+
+/// A running keeper.
+pub struct KeeperDaemon {
+    /// RPC address.
+    pub rpc: SocketAddr,
+    /// Operators' address.
+    pub http: SocketAddr,
+    replica: ActorRef<ReplicaMessage>,
+    stop: watch::Sender<bool>,
+    actor: JoinHandle<()>,
+    door: JoinHandle<()>,
+}
+
+/// Formats the data folder of a first voter.
+///
+/// # Errors
+/// [`StorageError`] when the folder is in use or cannot be written.
+pub fn init(settings: &KeeperSettings) -> Result<(), StorageError> {
+    let config = settings.first_config();
+    DataFolder::format(&settings.data, ReplicaId(settings.replica), &config)
+}
+
+/// Formats the data folder of a replica that waits to be added.
+///
+/// # Errors
+/// [`StorageError`] when the folder is in use or cannot be written.
+pub fn join(settings: &KeeperSettings) -> Result<(), StorageError> {
+    let config = MemberConfig::default();
+    DataFolder::format(&settings.data, ReplicaId(settings.replica), &config)
+}
+
+impl KeeperDaemon {
+    /// Starts a keeper on a formatted data folder.
+    ///
+    /// # Errors
+    /// [`StartError`] when the folder cannot be trusted or an address is taken.
+    pub async fn start(settings: KeeperSettings) -> Result<Self, StartError> {
+        let listener = std::net::TcpListener::bind(settings.rpc)
+            .map_err(|error| StartError::Io("rpc".to_owned(), error))?;
+        Self::start_on(settings, listener).await
+    }
+
+    /// Starts a keeper that serves RPC on `listener`, whatever `settings.rpc` says.
+    ///
+    /// # Errors
+    /// [`StartError`] when the folder cannot be trusted or an address is taken.
+    pub async fn start_on(
+        mut settings: KeeperSettings,
+        listener: std::net::TcpListener,
+    ) -> Result<Self, StartError> {
+        let io_at = |what: &str| {
+            let what = what.to_owned();
+            move |error| StartError::Io(what, error)
+        };
+        let replica = ReplicaId(settings.replica);
+        let (folder, content) =
+            DataFolder::open(&settings.data, replica).map_err(StartError::Storage)?;
+        settings.rpc = listener.local_addr().map_err(io_at("rpc"))?;
+        let now = clock::now();
+        let core = ReplicaCore::restart(
+            now,
+            replica,
+            settings.replica_settings(),
+            content.snapshot,
+            content.hard,
+            content.entries,
+            seed(replica, now),
+        );
+        let proof = cluster_proof(&settings.cluster_secret);
+        let caller = PeerCaller::start(proof.clone()).map_err(io_at("rpc client"))?;
+        let arguments = ReplicaArguments {
+            settings: settings.clone(),
+            core,
+            folder,
+            caller,
+        };
+        let (replica, actor) = Actor::spawn(None, ReplicaActor, arguments)
+            .await
+            .map_err(|error| StartError::Actor(error.to_string()))?;
+        let (stop, stopped) = watch::channel(false);
+        let handler = call_handler(replica.clone());
+        let rpc = rpc::serve(listener, proof, handler, stopped.clone()).map_err(io_at("rpc"))?;
+        let listener = TcpListener::bind(settings.http)
+            .await
+            .map_err(io_at("http"))?;
+        let http = listener.local_addr().map_err(io_at("http"))?;
+        let door = OperatorDoor {
+            replica: replica.clone(),
+            key_hashes: settings.operator_key_hashes.clone().into(),
+        };
+        let service = move |request| door.clone().answer(request);
+        let door = tokio::spawn(http::serve(listener, stopped, SHUTDOWN_PATIENCE, service));
+        spdlog::info!(
+            "keeper: replica {} serves RPC at {rpc}, operators at {http}.",
+            settings.replica
+        );
+        warn_if_open(&settings);
+        Ok(Self {
+            rpc,
+            http,
+            replica,
+            stop,
+            actor,
+            door,
+        })
+    }
+
+    /// The replica's actor.
+    pub fn replica(&self) -> &ActorRef<ReplicaMessage> {
+        &self.replica
+    }
+
+    /// Waits until the replica has ended by itself, as after a failed sync.
+    pub async fn failed(&mut self) {
+        let _ = (&mut self.actor).await;
+    }
+
+    /// Ends the keeper. What was synced is on disk; the others elect another leader.
+    pub async fn shut_down(self) {
+        let _ = self.stop.send(true);
+        let _ = self.door.await;
+        self.replica.stop(None);
+        let _ = self.actor.await;
+    }
+}
+
+fn warn_if_open(settings: &KeeperSettings) {
+    if settings.operator_key_hashes.is_empty() && !settings.http.ip().is_loopback() {
+        spdlog::warn!("keeper: operators need no key at {}.", settings.http);
+    }
+}
+
+/// A seed for election timeouts that differs between replicas and between lives.
+fn seed(replica: ReplicaId, now: TimePoint) -> u64 {
+    let wall = clock::wall_now().as_micros();
+    replica.0.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ wall ^ now.as_micros()
+}
+
+async fn ask<T>(
+    replica: &ActorRef<ReplicaMessage>,
+    fallback: T,
+    make: impl FnOnce(oneshot::Sender<T>) -> ReplicaMessage,
+) -> T {
+    let (reply, answer) = oneshot::channel();
+    if replica.cast(make(reply)).is_err() {
+        return fallback;
+    }
+    answer.await.unwrap_or(fallback)
+}
+
+fn call_handler(replica: ActorRef<ReplicaMessage>) -> CallHandler {
+    Arc::new(move |method, payload| {
+        let replica = replica.clone();
+        let answer: Pin<Box<dyn Future<Output = CallAnswer> + Send>> = match method {
+            Method::Replicate => Box::pin(rpc::answer(
+                payload,
+                move |call: ReplicateCall| async move {
+                    let _ = replica.cast(ReplicaMessage::Replicate(call));
+                },
+            )),
+            Method::Run => Box::pin(rpc::answer(payload, move |call: RunCall| async move {
+                let make = |reply| ReplicaMessage::Run(call.commands, reply);
+                ask(&replica, RunReply::Unsure, make).await
+            })),
+            Method::Beat => Box::pin(rpc::answer(payload, move |beat| async move {
+                let make = |reply| ReplicaMessage::Beat(beat, reply);
+                ask(&replica, BeatReply::NotLeader(None), make).await
+            })),
+            Method::Exchange | Method::Credit => Box::pin(async { (Status::NotHere, Vec::new()) }),
+        };
+        answer
+    })
+}
+
+/// The page for scraping.
+pub fn metrics_page() -> String {
+    String::new()
+}
--- /dev/null
+++ b/crates/keeper/src/main.rs
@@ -0,0 +1,83 @@
+//! `chestnutloft-keeper`: one replica of chestnutloft's durable state.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use chestnutloft_keeper::daemon::{self, KeeperDaemon};
+use chestnutloft_keeper::settings::KeeperSettings;
+use chestnutloft_wire::{logs, settings, shutdown};
+
+mod flags {
+    use std::path::PathBuf;
+
+    xflags::xflags! {
+        /// Keeps chestnutloft's declarations, claims, session bindings and bills.
+        cmd chestnutloft-keeper {
+            /// Settings file in YAML.
+            optional --settings settings: PathBuf
+            /// Runs the replica on its formatted data folder.
+            default cmd run {}
+            /// Formats the data folder of a first voter.
+            cmd init {}
+            /// Formats the data folder of a replica that waits to be added.
+            cmd join {}
+            /// Checks the settings and prints them.
+            cmd check {}
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    let flags = flags::ChestnutloftKeeper::from_env_or_exit();
+    let path = flags
+        .settings
+        .unwrap_or_else(|| PathBuf::from("keeper.yaml"));
+    let settings = match settings::load(&path, KeeperSettings::check) {
+        Ok(settings) => settings,
+        Err(findings) => {
+            settings::print_findings(&path, &findings);
+            return ExitCode::from(2);
+        }
+    };
+    if let Err(problem) = logs::start(&settings.log_level) {
+        eprintln!("{}: log_level: {problem}", path.display());
+        return ExitCode::from(2);
+    }
+    let outcome = match flags.subcommand {
+        flags::ChestnutloftKeeperCmd::Run(_) => run(settings),
+        flags::ChestnutloftKeeperCmd::Init(_) => daemon::init(&settings).map_err(|e| e.to_string()),
+        flags::ChestnutloftKeeperCmd::Join(_) => daemon::join(&settings).map_err(|e| e.to_string()),
+        flags::ChestnutloftKeeperCmd::Check(_) => {
+            println!("{settings:#?}");
+            Ok(())
+        }
+    };
+    match outcome {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(problem) => {
+            spdlog::critical!("keeper: {problem}.");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(settings: KeeperSettings) -> Result<(), String> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()
+        .map_err(|error| error.to_string())?;
+    runtime.block_on(async {
+        let mut keeper = KeeperDaemon::start(settings)
+            .await
+            .map_err(|error| error.to_string())?;
+        tokio::select! {
+            () = shutdown::requested() => {
+                spdlog::info!("keeper: shuts down.");
+                keeper.shut_down().await;
+                Ok(())
+            }
+            () = keeper.failed() => Err("the replica has stopped".to_owned()),
+        }
+    })
+}
--- /dev/null
+++ b/crates/operator/src/lib.rs
@@ -0,0 +1,4 @@
+//! What the operators' command line is made of.
+
+pub mod client;
+pub mod print;
--- /dev/null
+++ b/crates/operator/src/main.rs
@@ -0,0 +1,468 @@
+//! `chestnutloft`: the operators' command line.
+
+use std::path::Path;
+use std::process::ExitCode;
+use std::time::{Duration, Instant};
+
+use chestnutloft_core::plan::{
+    ChangeOutcome, DeclarationPatch, PlanChange, PlanDeclaration, RolloutPhase, RolloutProgress,
+    SubmittedChange, SubmittedContent, describe_patch,
+};
+use chestnutloft_entry::explain::DecisionRecord;
+use chestnutloft_keeper::operator::MemberRequest;
+use chestnutloft_operator::client::OperatorClient;
+use chestnutloft_operator::print::{outcome_text, status_text};
+use chestnutloft_plan::read_plan;
+use chestnutloft_wire::{auth, clock, http};
+
+use flags::ChestnutloftCmd as Command;
+
+mod flags {
+    use std::path::PathBuf;
+
+    xflags::xflags! {
+        /// The operators' command line of chestnutloft.
+        cmd chestnutloft {
+            /// Operator address of a keeper, IP:port; may be given several times.
+            repeated --keeper keeper: String
+            /// File with the operator's key.
+            optional --key-file key_file: PathBuf
+            /// Name under which changes are recorded.
+            optional --operator operator: String
+            /// `text` or `json`.
+            optional --output output: String
+
+            /// The plan sheet.
+            cmd plan {
+                /// Lists every finding of a sheet.
+                cmd check {
+                    /// Folder of CSV files, or a workbook.
+                    required sheet: PathBuf
+                }
+                /// Shows what a sheet would change.
+                cmd diff {
+                    /// Folder of CSV files, or a workbook.
+                    required sheet: PathBuf
+                }
+                /// Submits a sheet and waits until it is in force.
+                cmd apply {
+                    /// Folder of CSV files, or a workbook.
+                    required sheet: PathBuf
+                    /// Revision that the sheet was made from; the newest where it is missing.
+                    optional --base base: u64
+                }
+            }
+            /// Revision, roll-outs, domains, entries and keepers.
+            cmd status {}
+            /// Sums of all bills.
+            cmd spend {}
+            /// Takes a failure domain out.
+            cmd drain {
+                /// The failure domain.
+                required domain: String
+            }
+            /// Takes a failure domain in again.
+            cmd return {
+                /// The failure domain.
+                required domain: String
+            }
+            /// Withdraws a version for good.
+            cmd withdraw {
+                /// The version, `model@version`.
+                required version: String
+                /// Version that its sessions move to.
+                optional --successor successor: String
+            }
+            /// Ends the quarantine of a version.
+            cmd clear {
+                /// The version, `model@version`.
+                required version: String
+            }
+            /// Stops a roll-out, lets it go on, or rolls it back.
+            cmd rollout {
+                /// The roll-out.
+                required rollout: String
+                /// `stop`, `go-on` or `back`.
+                required action: String
+            }
+            /// Adds or removes a keeper.
+            cmd members {
+                /// `add` or `remove`.
+                required action: String
+                /// Number of the replica.
+                required replica: u64
+                /// RPC address, for `add`.
+                optional address: String
+            }
+            /// Why a request went where it went.
+            cmd explain {
+                /// Request id, from header x-request-id.
+                required request: String
+                /// Address of an entry, IP:port; may be given several times.
+                repeated --entry entry: String
+            }
+            /// Prints the hash of a key, for plans and settings. Reads the key from standard input.
+            cmd hash-key {}
+        }
+    }
+}
+
+/// Exit code for findings and conflicts.
+const EXIT_FINDINGS: u8 = 2;
+/// Time for a change to come into force everywhere.
+const IN_FORCE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Wait between two looks at the status.
+const POLL: Duration = Duration::from_millis(150);
+
+struct CommandContext {
+    client: OperatorClient,
+    key: Option<String>,
+    operator: String,
+    is_json: bool,
+}
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> ExitCode {
+    let flags = flags::Chestnutloft::from_env_or_exit();
+    match run(flags).await {
+        Ok(code) => code,
+        Err(problem) => {
+            eprintln!("chestnutloft: {problem}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(flags: flags::Chestnutloft) -> Result<ExitCode, String> {
+    let key = read_key(flags.key_file.as_deref())?;
+    let keepers = if flags.keeper.is_empty() {
+        vec!["127.0.0.1:7601".to_owned()]
+    } else {
+        flags.keeper
+    };
+    let is_json = match flags.output.as_deref() {
+        None | Some("text") => false,
+        Some("json") => true,
+        Some(other) => return Err(format!("--output {other:?} is unknown; write text or json")),
+    };
+    let context = CommandContext {
+        client: OperatorClient::new(keepers, key.clone()),
+        key,
+        operator: flags.operator.unwrap_or_else(|| "operator".to_owned()),
+        is_json,
+    };
+    match flags.subcommand {
+        Command::Plan(plan) => match plan.subcommand {
+            flags::PlanCmd::Check(check) => Ok(check_plan(&context, &check.sheet)),
+            flags::PlanCmd::Diff(diff) => diff_plan(&context, &diff.sheet).await,
+            flags::PlanCmd::Apply(apply) => apply_plan(&context, &apply.sheet, apply.base).await,
+        },
+        Command::Status(_) => show_status(&context).await,
+        Command::Spend(_) => show_spend(&context).await,
+        Command::Drain(drain) => {
+            warn_of_capacity(&context, &drain.domain).await;
+            let domain = parse(&drain.domain)?;
+            submit(&context, PlanChange::DrainDomain(domain)).await
+        }
+        Command::Return(back) => {
+            let domain = parse(&back.domain)?;
+            submit(&context, PlanChange::ReturnDomain(domain)).await
+        }
+        Command::Withdraw(withdraw) => {
+            let successor = withdraw.successor.as_deref().map(parse).transpose()?;
+            let version = parse(&withdraw.version)?;
+            submit(&context, PlanChange::Withdraw { version, successor }).await
+        }
+        Command::Clear(clear) => {
+            let version = parse(&clear.version)?;
+            submit(&context, PlanChange::Clear(version)).await
+        }
+        Command::Rollout(rollout) => {
+            change_rollout(&context, &rollout.rollout, &rollout.action).await
+        }
+        Command::Members(members) => change_members(&context, members).await,
+        Command::Explain(explain) => show_decision(&context, &explain).await,
+        Command::HashKey(_) => hash_key(),
+    }
+}
+
+fn parse<T: std::str::FromStr>(text: &str) -> Result<T, String>
+where
+    T::Err: std::fmt::Display,
+{
+    text.parse().map_err(|error| format!("{text:?}: {error}"))
+}
+
+fn read_key(path: Option<&Path>) -> Result<Option<String>, String> {
+    let Some(path) = path else { return Ok(None) };
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    Ok(Some(text.trim().to_owned()))
+}
+
+fn hash_key() -> Result<ExitCode, String> {
+    let mut key = String::new();
+    std::io::stdin()
+        .read_line(&mut key)
+        .map_err(|error| error.to_string())?;
+    println!("{}", auth::key_hash(key.trim()));
+    Ok(ExitCode::SUCCESS)
+}
+
+fn print_json<T: serde::Serialize>(content: &T) {
+    println!(
+        "{}",
+        serde_json::to_string_pretty(content).unwrap_or_default()
+    );
+}
+
+/// Reads a sheet; prints its findings where there are any.
+fn read_checked(context: &CommandContext, sheet: &Path) -> Option<PlanDeclaration> {
+    let plan = read_plan(sheet);
+    if plan.findings.is_empty() {
+        return Some(plan.declaration);
+    }
+    if context.is_json {
+        print_json(&plan.findings);
+    } else {
+        for finding in &plan.findings {
+            println!("{finding}");
+        }
+        if plan.dropped_findings > 0 {
+            println!("and {} more findings", plan.dropped_findings);
+        }
+    }
+    None
+}
+
+fn check_plan(context: &CommandContext, sheet: &Path) -> ExitCode {
+    let Some(plan) = read_checked(context, sheet) else {
+        return ExitCode::from(EXIT_FINDINGS);
+    };
+    if context.is_json {
+        print_json(&Vec::<String>::new());
+    } else {
+        println!(
+            "No findings: {} workspaces, {} versions, {} targets, {} roll-outs, {} outages.",
+            plan.workspaces.len(),
+            plan.versions.len(),
+            plan.targets.len(),
+            plan.rollouts.len(),
+            plan.outages.len()
+        );
+    }
+    ExitCode::SUCCESS
+}
+
+async fn diff_plan(context: &CommandContext, sheet: &Path) -> Result<ExitCode, String> {
+    let Some(plan) = read_checked(context, sheet) else {
+        return Ok(ExitCode::from(EXIT_FINDINGS));
+    };
+    let current = context.client.plan().await.map_err(|e| e.to_string())?;
+    let patch = DeclarationPatch::between(&current.declaration, &plan);
+    let lines = describe_patch(&current.declaration, &patch);
+    if context.is_json {
+        print_json(&lines);
+    } else if lines.is_empty() {
+        println!("Nothing would change.");
+    } else {
+        for line in &lines {
+            println!("{line}");
+        }
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+async fn apply_plan(
+    context: &CommandContext,
+    sheet: &Path,
+    base: Option<u64>,
+) -> Result<ExitCode, String> {
+    let Some(plan) = read_checked(context, sheet) else {
+        return Ok(ExitCode::from(EXIT_FINDINGS));
+    };
+    let base = match base {
+        Some(base) => base,
+        None => {
+            context
+                .client
+                .plan()
+                .await
+                .map_err(|e| e.to_string())?
+                .revision
+        }
+    };
+    let declaration = SubmittedContent::Declaration(Box::new(plan));
+    send(context, Some(base), declaration).await
+}
+
+async fn submit(context: &CommandContext, change: PlanChange) -> Result<ExitCode, String> {
+    // The base makes a resend after a lost answer recognisable.
+    let plan = context.client.plan().await.map_err(|e| e.to_string())?;
+    send(
+        context,
+        Some(plan.revision),
+        SubmittedContent::Change(change),
+    )
+    .await
+}
+
+async fn send(
+    context: &CommandContext,
+    base: Option<u64>,
+    submitted: SubmittedContent,
+) -> Result<ExitCode, String> {
+    let change = SubmittedChange {
+        operator: context.operator.clone(),
+        base,
+        content: submitted,
+    };
+    let outcome = context
+        .client
+        .submit(&change)
+        .await
+        .map_err(|e| e.to_string())?;
+    if context.is_json {
+        print_json(&outcome);
+    } else {
+        println!("{}", outcome_text(&outcome));
+    }
+    match outcome {
+        ChangeOutcome::Accepted(revision) => wait_in_force(context, revision).await,
+        ChangeOutcome::Conflict { .. } | ChangeOutcome::Invalid(_) => {
+            Ok(ExitCode::from(EXIT_FINDINGS))
+        }
+    }
+}
+
+async fn wait_in_force(context: &CommandContext, revision: u64) -> Result<ExitCode, String> {
+    let began = Instant::now();
+    let mut shown = None;
+    while began.elapsed() < IN_FORCE_TIMEOUT {
+        let status = context.client.status().await.map_err(|e| e.to_string())?;
+        if status.in_force.is_some_and(|in_force| in_force >= revision) {
+            if !context.is_json {
+                println!(
+                    "In force everywhere after {} ms.",
+                    began.elapsed().as_millis()
+                );
+            }
+            return Ok(ExitCode::SUCCESS);
+        }
+        let live = status.entries.iter().filter(|entry| entry.is_live);
+        let applied = live
+            .clone()
+            .filter(|entry| entry.revision >= revision)
+            .count();
+        let progress = (applied, live.count());
+        if shown != Some(progress) && !context.is_json {
+            println!("Applied by {} of {} entries.", progress.0, progress.1);
+            shown = Some(progress);
+        }
+        tokio::time::sleep(POLL).await;
+    }
+    let seconds = IN_FORCE_TIMEOUT.as_secs();
+    Err(format!(
+        "revision {revision} is accepted and not in force after {seconds} s"
+    ))
+}
+
+async fn show_status(context: &CommandContext) -> Result<ExitCode, String> {
+    let status = context.client.status().await.map_err(|e| e.to_string())?;
+    if context.is_json {
+        print_json(&status);
+    } else {
+        print!("{}", status_text(&status));
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+async fn show_spend(context: &CommandContext) -> Result<ExitCode, String> {
+    let rows = context.client.spend().await.map_err(|e| e.to_string())?;
+    print_json(&rows);
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Tells the operator when no other failure domain would be left.
+async fn warn_of_capacity(context: &CommandContext, domain: &str) {
+    let Ok(plan) = context.client.plan().await else {
+        return;
+    };
+    let left = plan
+        .declaration
+        .domains
+        .keys()
+        .filter(|other| other.as_str() != domain && !plan.drained.contains(*other))
+        .count();
+    if left == 0 {
+        eprintln!("Warning: no other failure domain takes work.");
+    }
+}
+
+async fn change_rollout(
+    context: &CommandContext,
+    id: &str,
+    action: &str,
+) -> Result<ExitCode, String> {
+    let rollout: chestnutloft_core::ids::RolloutId = parse(id)?;
+    let plan = context.client.plan().await.map_err(|e| e.to_string())?;
+    let current = plan
+        .rollouts
+        .get(&rollout)
+        .ok_or_else(|| format!("roll-out {id} is not declared"))?;
+    let phase = match action {
+        "stop" => RolloutPhase::Stopped,
+        "go-on" => RolloutPhase::Advancing,
+        "back" => RolloutPhase::RolledBack,
+        other => return Err(format!("{other:?} is unknown; write stop, go-on or back")),
+    };
+    let progress = RolloutProgress {
+        step: current.step,
+        phase,
+        since: clock::wall_now(),
+        reason: format!("{action} by {}", context.operator),
+    };
+    submit(context, PlanChange::Rollout { rollout, progress }).await
+}
+
+async fn change_members(
+    context: &CommandContext,
+    members: flags::Members,
+) -> Result<ExitCode, String> {
+    let replica = members.replica;
+    let request = match (members.action.as_str(), members.address) {
+        ("add", Some(address)) => MemberRequest::Add { replica, address },
+        ("add", None) => return Err("add needs the RPC address of the keeper".to_owned()),
+        ("remove", _) => MemberRequest::Remove { replica },
+        (other, _) => return Err(format!("{other:?} is unknown; write add or remove")),
+    };
+    let answer = context
+        .client
+        .members(&request)
+        .await
+        .map_err(|e| e.to_string())?;
+    println!("{answer}");
+    Ok(ExitCode::SUCCESS)
+}
+
+async fn show_decision(
+    context: &CommandContext,
+    explain: &flags::Explain,
+) -> Result<ExitCode, String> {
+    let client = http::client();
+    let mut last = "name at least one --entry".to_owned();
+    for entry in &explain.entry {
+        let uri = format!("http://{entry}/operator/v1/explain/{}", explain.request);
+        let key = context.key.as_deref();
+        let timeout = Duration::from_secs(3);
+        let reply: Result<DecisionRecord, _> =
+            http::call_json(&client, "GET", &uri, key, None::<&()>, timeout).await;
+        match reply {
+            Ok(record) => {
+                print_json(&record);
+                return Ok(ExitCode::SUCCESS);
+            }
+            Err(error) => last = error.to_string(),
+        }
+    }
+    Err(last)
+}
--- /dev/null
+++ b/crates/plan/src/write.rs
@@ -0,0 +1,183 @@
+//! Writes a declaration as sheets, each field in its column.
+
+use std::collections::BTreeMap;
+
+use jiff::Timestamp;
+use jiff::tz::TimeZone;
+
+use chestnutloft_core::plan::{EndpointTrust, PlanDeclaration, ServiceKind};
+use chestnutloft_core::time::TimePoint;
+
+use crate::sheets::{self, SheetSpec};
+
+fn amount(millionths: u64) -> String {
+    format!("{}.{:06}", millionths / 1_000_000, millionths % 1_000_000)
+}
+
+fn local_time(at: TimePoint) -> String {
+    let second = i64::try_from(at.as_secs()).unwrap_or(i64::MAX);
+    let zoned = Timestamp::from_second(second)
+        .unwrap_or_default()
+        .to_zoned(TimeZone::UTC);
+    zoned.strftime("%Y-%m-%d %H:%M").to_string()
+}
+
+struct SheetText {
+    writer: csv::Writer<Vec<u8>>,
+}
+
+impl SheetText {
+    fn new(spec: &SheetSpec) -> Self {
+        let mut writer = csv::Writer::from_writer(Vec::new());
+        // Writing to memory cannot fail.
+        let _ = writer.write_record(spec.columns);
+        Self { writer }
+    }
+
+    fn row(&mut self, cells: &[String]) {
+        let _ = self.writer.write_record(cells);
+    }
+
+    fn finish(self) -> String {
+        let bytes = self.writer.into_inner().unwrap_or_default();
+        String::from_utf8(bytes).unwrap_or_default()
+    }
+}
+
+/// The sheets of `plan` as CSV text, by name.
+pub fn write_sheets(plan: &PlanDeclaration) -> BTreeMap<&'static str, String> {
+    let mut texts: BTreeMap<&'static str, SheetText> = sheets::ALL
+        .iter()
+        .map(|spec| (spec.name, SheetText::new(spec)))
+        .collect();
+    let mut put = |spec: &SheetSpec, cells: &[String]| {
+        if let Some(text) = texts.get_mut(spec.name) {
+            text.row(cells);
+        }
+    };
+    write_places(plan, &mut put);
+    write_versions(plan, &mut put);
+    write_workspaces(plan, &mut put);
+    texts
+        .into_iter()
+        .map(|(name, text)| (name, text.finish()))
+        .collect()
+}
+
+fn write_places(plan: &PlanDeclaration, put: &mut dyn FnMut(&SheetSpec, &[String])) {
+    for (domain, rule) in &plan.domains {
+        put(&sheets::DOMAINS, &[domain.to_string(), rule.region.clone()]);
+    }
+    for outage in &plan.outages {
+        put(
+            &sheets::OUTAGES,
+            &[
+                outage.domain.to_string(),
+                local_time(outage.start),
+                local_time(outage.end),
+                "UTC".to_owned(),
+            ],
+        );
+    }
+    for (service, rule) in &plan.services {
+        let kind = match rule.kind {
+            ServiceKind::Model => "model",
+            ServiceKind::Plain => "plain",
+        };
+        let fencing = match rule.trust {
+            EndpointTrust::ChecksFencing => "checked",
+            EndpointTrust::IgnoresFencing => "ignored",
+        };
+        let cells = [service.to_string(), kind.to_owned(), fencing.to_owned()];
+        put(&sheets::SERVICES, &cells);
+        for method in &rule.methods {
+            let idempotent = if method.is_idempotent { "yes" } else { "no" };
+            put(
+                &sheets::METHODS,
+                &[
+                    service.to_string(),
+                    method.method.clone(),
+                    method.path.clone(),
+                    idempotent.to_owned(),
+                ],
+            );
+        }
+    }
+}
+
+fn write_versions(plan: &PlanDeclaration, put: &mut dyn FnMut(&SheetSpec, &[String])) {
+    for (version, rule) in &plan.versions {
+        let status = if rule.is_withdrawn {
+            "withdrawn"
+        } else {
+            "active"
+        };
+        put(
+            &sheets::VERSIONS,
+            &[
+                version.to_string(),
+                rule.service.to_string(),
+                amount(rule.input_cost),
+                amount(rule.output_cost),
+                rule.prior_quality.to_string(),
+                status.to_owned(),
+                rule.successor
+                    .as_ref()
+                    .map(ToString::to_string)
+                    .unwrap_or_default(),
+            ],
+        );
+    }
+    for (id, rule) in &plan.rollouts {
+        for (number, step) in (1..).zip(&rule.steps) {
+            let number: u32 = number;
+            put(
+                &sheets::ROLLOUTS,
+                &[
+                    id.to_string(),
+                    rule.from.to_string(),
+                    rule.to.to_string(),
+                    number.to_string(),
+                    (step.share * 100.0).to_string(),
+                    step.min_ratings.to_string(),
+                    step.hold.as_millis().to_string(),
+                ],
+            );
+        }
+    }
+}
+
+fn write_workspaces(plan: &PlanDeclaration, put: &mut dyn FnMut(&SheetSpec, &[String])) {
+    for (workspace, rule) in &plan.workspaces {
+        put(
+            &sheets::WORKSPACES,
+            &[
+                workspace.to_string(),
+                rule.rate_per_s.to_string(),
+                rule.burst.to_string(),
+                rule.concurrency.to_string(),
+                rule.weight.to_string(),
+                rule.key_hashes.join(" "),
+            ],
+        );
+        for version in &rule.allowed {
+            put(
+                &sheets::ALLOWED,
+                &[workspace.to_string(), version.to_string()],
+            );
+        }
+    }
+    for target in &plan.targets {
+        put(
+            &sheets::TARGETS,
+            &[
+                target.workspace.to_string(),
+                target.kind.to_string(),
+                target.quality.to_string(),
+                target.first_token.as_millis().to_string(),
+                target.whole_answer.as_millis().to_string(),
+                target.objective.to_string(),
+            ],
+        );
+    }
+}
--- /dev/null
+++ b/crates/wire/schema/peer.capnp
@@ -0,0 +1,23 @@
+@0xd0c6a5c1f2b7e913;
+
+# Calls between chestnutloft's own processes. Payloads are the typed messages of
+# crates/wire/src/message.rs in postcard encoding, the encoding that the journal uses too.
+
+interface Peer {
+  call @0 (proof :Data, method :Method, payload :Data) -> (status :Status, payload :Data);
+
+  enum Method {
+    replicate @0;  # keeper to keeper: messages of the replicated log
+    run @1;        # entry to keeper: a command of the state machine
+    beat @2;       # entry to keeper: heartbeat for a lease
+    exchange @3;   # entry to entry: endpoint records
+    credit @4;     # entry to entry: slots of cold endpoints
+  }
+
+  enum Status {
+    ok @0;
+    notMember @1;   # the proof does not fit this cluster
+    notHere @2;     # this process does not serve the method
+    malformed @3;   # the payload does not decode
+  }
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,13 @@
+//! How chestnutloft's processes talk: RPC among themselves, HTTP to everyone else.
+
+pub mod auth;
+pub mod clock;
+pub mod http;
+pub mod logs;
+pub mod message;
+#[allow(missing_docs, clippy::all, clippy::pedantic)]
+pub mod peer_capnp;
+pub mod rpc;
+pub mod rpc_client;
+pub mod settings;
+pub mod shutdown;
--- /dev/null
+++ b/crates/wire/src/message.rs
@@ -0,0 +1,102 @@
+//! Typed messages between chestnutloft's processes.
+
+use serde::{Deserialize, Serialize};
+
+use chestnutloft_core::consensus::{PeerMessage, ReplicaId};
+use chestnutloft_core::ids::{EndpointId, EntryId};
+use chestnutloft_core::state::{
+    CreditGrant, CreditReport, EndpointRecord, EntryBeat, KeeperCommand, KeeperOutcome, LeaseGrant,
+};
+
+/// Messages of the replicated log from one keeper to another.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ReplicateCall {
+    /// Sender.
+    pub from: ReplicaId,
+    /// RPC address of the sender, for a receiver that does not know the members yet.
+    pub from_address: String,
+    /// Receiver: a keeper that runs under another number does not take them.
+    pub to: ReplicaId,
+    /// Messages, in order.
+    pub messages: Vec<PeerMessage>,
+}
+
+/// Commands for the state machine, applied in order.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RunCall {
+    /// The commands.
+    pub commands: Vec<KeeperCommand>,
+}
+
+/// Answer to [`RunCall`].
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum RunReply {
+    /// Committed; one outcome for each command.
+    Done(Vec<KeeperOutcome>),
+    /// This keeper does not lead; address of the one that does, if known. Nothing was applied.
+    NotLeader(Option<String>),
+    /// The keeper lost its lead while the commands were under way: they may be applied or not.
+    Unsure,
+}
+
+/// Answer to a heartbeat.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum BeatReply {
+    /// A lease.
+    Grant(Box<LeaseGrant>),
+    /// This keeper does not lead; address of the one that does, if known.
+    NotLeader(Option<String>),
+    /// A newer life of this entry is known.
+    Superseded,
+}
+
+/// Heartbeat of an entry.
+pub type BeatCall = EntryBeat;
+
+/// Endpoint records that the sender heard lately.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ExchangeCall {
+    /// Sender.
+    pub from: EntryId,
+    /// Records with the milliseconds since they were heard.
+    pub records: Vec<(EndpointRecord, u32)>,
+    /// Whether the sender wants all records back, as after its start.
+    pub wants_all: bool,
+}
+
+/// Answer to [`ExchangeCall`].
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ExchangeReply {
+    /// Records with the milliseconds since they were heard.
+    pub records: Vec<(EndpointRecord, u32)>,
+}
+
+/// Asks the owner for slots of cold endpoints.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct CreditCall {
+    /// Entry that asks.
+    pub entry: EntryId,
+    /// One item for each endpoint.
+    pub items: Vec<CreditItem>,
+}
+
+/// One endpoint of a [`CreditCall`].
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct CreditItem {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// Life and cold epoch that the entry knows.
+    pub life: (u64, u64),
+    /// Requests that it serves at once when warm.
+    pub full_slots: u32,
+    /// What the entry reports.
+    pub report: CreditReport,
+}
+
+/// Answer to [`CreditCall`]: grants in the order of the items; `None` where the receiver does
+/// not own the endpoint or knows a newer life.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct CreditReply {
+    /// The grants.
+    pub grants: Vec<Option<CreditGrant>>,
+}
