--- a/crates/core/src/consensus/replication.rs
+++ b/crates/core/src/consensus/replication.rs
@@ -330,7 +330,11 @@
         }
         self.follow(now, from, term);
         let index = image.index;
-        if index > self.commit {
+        if self.log.term_at(index) == Some(image.term) {
+            // The log holds all of it already, and perhaps more that was acknowledged: a late
+            // snapshot must not drop that.
+            self.set_commit(index);
+        } else if index > self.commit {
             self.install(image);
         }
         self.reply_append(from, index, true, sent_at);
--- a/crates/core/src/ledger/settings.rs
+++ b/crates/core/src/ledger/settings.rs
@@ -3,29 +3,30 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use serde_with::{DurationSeconds, serde_as};
+use serde_with::{DurationMilliSeconds, serde_as};
 
-/// Retention and bounds of the ledger.
+/// Retention and bounds of the ledger. They are part of the replicated state: replicas that expired
+/// records by settings of their own would no longer agree.
 #[serde_as]
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct LedgerSettings {
     /// Shards; keys are spread over them by hash.
     pub shards: usize,
-    /// How long the answer of a settled claim is kept, in seconds.
-    #[serde_as(as = "DurationSeconds<u64>")]
+    /// How long the answer of a settled claim is kept, in milliseconds.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub answer_retention: Duration,
-    /// How long a settled or unknown claim is remembered without its answer, in seconds.
-    #[serde_as(as = "DurationSeconds<u64>")]
+    /// How long a settled or unknown claim is remembered without its answer, in milliseconds.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub tombstone_retention: Duration,
-    /// How long an idle session keeps its binding, in seconds.
-    #[serde_as(as = "DurationSeconds<u64>")]
+    /// How long an idle session keeps its binding, in milliseconds.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub session_retention: Duration,
-    /// How long a bill is remembered against being booked twice, in seconds.
-    #[serde_as(as = "DurationSeconds<u64>")]
+    /// How long a bill is remembered against being booked twice, in milliseconds.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub bill_retention: Duration,
-    /// How long past its deadline a running claim counts as running, in seconds.
-    #[serde_as(as = "DurationSeconds<u64>")]
+    /// How long past its deadline a running claim counts as running, in milliseconds.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub running_grace: Duration,
     /// Largest stored answer, in bytes; a larger one is remembered without its body.
     pub answer_bytes: usize,
--- a/crates/core/src/ledger/shard.rs
+++ b/crates/core/src/ledger/shard.rs
@@ -83,6 +83,20 @@
         }
     }
 
+    /// Settings in force.
+    pub fn settings(&self) -> &LedgerSettings {
+        &self.settings
+    }
+
+    /// Puts other settings in force. The number of shards stays: keys would lose their records.
+    pub fn configure(&mut self, settings: &LedgerSettings) {
+        let shards = self.settings.shards;
+        self.settings = LedgerSettings {
+            shards,
+            ..settings.clone()
+        };
+    }
+
     fn shard(&mut self, key: u128) -> (&mut LedgerShard, &LedgerSettings) {
         let count = self.shards.len() as u128;
         let position = usize::try_from(key % count).unwrap_or_default();
--- a/crates/core/src/state/keeper.rs
+++ b/crates/core/src/state/keeper.rs
@@ -7,8 +7,8 @@
 use super::quality::{QualityBook, QualitySettings, RatingRecord, RouteArm};
 use crate::ids::{EntryId, RolloutId, ServiceId, VersionId};
 use crate::ledger::{
-    AttemptId, BillOutcome, BillRecord, BindOutcome, ClaimOutcome, ClaimRequest, LedgerState,
-    RequestKey, SessionKey, SettleOutcome, StoredAnswer,
+    AttemptId, BillOutcome, BillRecord, BindOutcome, ClaimOutcome, ClaimRequest, LedgerSettings,
+    LedgerState, RequestKey, SessionKey, SettleOutcome, StoredAnswer,
 };
 use crate::plan::{
     ChangeOutcome, PlanChange, PlanState, PlanView, RolloutPhase, RolloutProgress, RolloutRule,
@@ -78,6 +78,8 @@
         /// Life of that entry.
         incarnation: u64,
     },
+    /// Puts settings of the ledger in force.
+    Configure(LedgerSettings),
     /// Lets time pass: roll-outs whose step is done move on.
     Tick,
     /// Several commands, applied in order.
@@ -184,6 +186,10 @@
                 entry,
                 incarnation,
             } => KeeperOutcome::Fence(self.fences.acquire(service, entry, *incarnation, stamp)),
+            KeeperCommand::Configure(settings) => {
+                self.ledger.configure(settings);
+                KeeperOutcome::Done(true)
+            }
             KeeperCommand::Tick => KeeperOutcome::Done(self.advance_rollouts()),
             KeeperCommand::Batch(commands) => {
                 KeeperOutcome::Batch(commands.iter().map(|c| self.run(c)).collect())
--- a/crates/keeper/src/actor.rs
+++ b/crates/keeper/src/actor.rs
@@ -9,6 +9,7 @@
 use chestnutloft_core::consensus::{
     MemberChange, PeerMessage, ProposalError, ReadyBatch, ReplicaCore, ReplicaId, SavedPoint,
 };
+use chestnutloft_core::ledger::LedgerSettings;
 use chestnutloft_core::state::{
     EntryBeat, GrantTable, KeeperCommand, LeaseGrant, LiveEntry, live_hash,
 };
@@ -124,7 +125,7 @@
             caller,
         } = arguments;
         Self {
-            host: StateHost::new(&settings.ledger),
+            host: StateHost::new(),
             outbox: MessageOutbox::new(core.id(), settings.rpc.to_string(), caller),
             journal_bytes: folder.bytes(),
             folder: Some(folder),
@@ -181,6 +182,7 @@
             );
         }
         self.refresh_live(now);
+        self.configure_ledger(now);
         let is_due = self.host.state().has_due_rollout(clock::wall_now());
         if is_due && !self.is_tick_due {
             self.is_tick_due = true;
@@ -188,6 +190,19 @@
         }
     }
 
+    /// The leader's settings of the ledger go through the log, so that all replicas use the same.
+    fn configure_ledger(&mut self, now: TimePoint) {
+        let shards = self.host.state().ledger.settings().shards;
+        let wanted = LedgerSettings {
+            shards,
+            ..self.settings.ledger.clone()
+        };
+        if *self.host.state().ledger.settings() != wanted && !self.is_tick_due {
+            self.is_tick_due = true;
+            self.propose(now, KeeperCommand::Configure(wanted));
+        }
+    }
+
     fn refresh_live(&mut self, now: TimePoint) {
         // Entries that have not found this leader yet still hold leases of the one before: a list
         // without them would hand their endpoints to others too early.
--- a/crates/keeper/src/host.rs
+++ b/crates/keeper/src/host.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 
 use chestnutloft_core::consensus::{EntryBody, LogEntry, LogIndex, SnapshotImage, TermNumber};
-use chestnutloft_core::ledger::{LedgerSettings, LedgerState};
 use chestnutloft_core::state::{KeeperCommand, KeeperOutcome, KeeperState, StampedCommand};
 use chestnutloft_core::time::TimePoint;
 use chestnutloft_wire::message::RunReply;
@@ -16,6 +15,7 @@
 }
 
 /// The state machine and those who wait for it.
+#[derive(Default)]
 pub struct StateHost {
     state: KeeperState,
     waiting: BTreeMap<LogIndex, WaitingCall>,
@@ -23,14 +23,8 @@
 
 impl StateHost {
     /// An empty state machine.
-    pub fn new(ledger: &LedgerSettings) -> Self {
-        Self {
-            state: KeeperState {
-                ledger: LedgerState::new(ledger.clone()),
-                ..KeeperState::default()
-            },
-            waiting: BTreeMap::new(),
-        }
+    pub fn new() -> Self {
+        Self::default()
     }
 
     /// The state.
