--- a/crates/core/src/pipe/choose_endpoint.rs
+++ b/crates/core/src/pipe/choose_endpoint.rs
@@ -165,6 +165,14 @@
         }
     }
 
+    fn is_member(&self, id: &EndpointId, pool: &PoolKey) -> bool {
+        let announcement = self.registry.get(id).map(|record| &record.announcement);
+        announcement.is_some_and(|a| match pool {
+            PoolKey::Version(version) => a.versions.contains(version),
+            PoolKey::Service(service) => a.service == *service,
+        })
+    }
+
     fn is_open(&self, record: &EndpointRecord, query: &EndpointQuery<'_>) -> bool {
         let announcement = &record.announcement;
         self.plan.is_domain_open(&announcement.domain)
@@ -181,7 +189,10 @@
         if members.len() <= self.settings.sample {
             return self.open_among(now, query, members.iter());
         }
-        let holders = members.iter().filter(|id| query.hits.contains_key(*id));
+        let holders = query
+            .hits
+            .keys()
+            .filter(|id| self.is_member(id, query.pool));
         let drawn = members.choose_multiple(rng, self.settings.sample);
         let sampled = self.open_among(now, query, holders.chain(drawn));
         if sampled.is_empty() {
--- a/crates/core/src/pipe/choose_version.rs
+++ b/crates/core/src/pipe/choose_version.rs
@@ -232,8 +232,13 @@
         if is_fresh {
             return;
         }
+        let mut offers = self.offers(ticket, plan, book, has_pool);
+        if offers.is_empty() {
+            // No endpoint is heard just now: the request may still wait for one.
+            offers = self.offers(ticket, plan, book, &|_| true);
+        }
         let table = OfferTable {
-            offers: self.offers(ticket, plan, book, has_pool),
+            offers,
             target: plan
                 .target(&ticket.workspace, &ticket.kind)
                 .map_or(self.settings.default_target, |t| t.quality),
--- a/crates/core/src/pipe/queue.rs
+++ b/crates/core/src/pipe/queue.rs
@@ -15,6 +15,9 @@
     pub capacity: usize,
     /// Share of the capacity that one workspace may fill.
     pub workspace_share: f64,
+    /// Share of the time to its deadline that a request may spend waiting: what is left must do
+    /// for the answer.
+    pub wait_share: f64,
     /// Answers over which the service rate is averaged.
     pub rate_memory: f64,
 }
@@ -24,6 +27,7 @@
         Self {
             capacity: 512,
             workspace_share: 0.5,
+            wait_share: 0.5,
             rate_memory: 64.0,
         }
     }
@@ -111,7 +115,7 @@
         if self.len() >= self.settings.capacity || own as f64 >= share {
             return Err(QueueFault::Full(wait.max(Duration::from_millis(100))));
         }
-        if now + wait >= deadline {
+        if wait >= deadline.since(now).mul_f64(self.settings.wait_share) {
             return Err(QueueFault::TooLate(wait));
         }
         self.next_ticket += 1;
--- a/crates/core/src/pipe/router.rs
+++ b/crates/core/src/pipe/router.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use rand::SeedableRng;
+use rand::seq::IndexedRandom;
 use rand_pcg::Pcg64;
 
 use super::admit::{AdmitSettings, AdmitState};
@@ -25,6 +26,8 @@
 };
 use crate::time::TimePoint;
 
+/// Endpoints of a pool whose slots are asked for at once.
+const DEMAND_SAMPLE: usize = 16;
 /// Requests after which slots of cold endpoints are asked for ahead of need.
 const WARM_UP_INTERVAL: usize = 8;
 
@@ -324,12 +327,13 @@
 
     /// Notes that slots of the pool's cold endpoints are in demand.
     fn note_demand(&mut self, now: TimePoint, pool: &PoolKey) {
-        let cold: Vec<EndpointId> = self
-            .registry
-            .available_in(now, pool)
-            .map(|record| record.announcement.endpoint.clone())
+        let members = self.registry.pool(pool);
+        let drawn: Vec<EndpointId> = members
+            .choose_multiple(&mut self.rng, DEMAND_SAMPLE)
+            .filter(|id| self.registry.available(now, id).is_some())
+            .cloned()
             .collect();
-        for id in cold {
+        for id in drawn {
             let usage = self.usages.entry(&id);
             if !usage.wallet.has_room(now) {
                 usage.wallet.note_demand();
--- a/crates/core/src/state/credits.rs
+++ b/crates/core/src/state/credits.rs
@@ -306,7 +306,7 @@
     pub fn report(&mut self, asked_at: TimePoint) -> CreditReport {
         let report = CreditReport {
             number: asked_at.as_micros(),
-            wanted: self.in_use + self.refused.min(MAX_DEMAND),
+            wanted: self.wanted(),
             in_use: self.in_use,
             healthy: self.healthy,
             slow: self.slow,
@@ -320,6 +320,16 @@
         report
     }
 
+    /// Slots in use, those asked for in vain, and some to spare while there is use at all.
+    fn wanted(&self) -> u32 {
+        let spare = if self.in_use + self.healthy > 0 {
+            self.in_use / 2 + 2
+        } else {
+            0
+        };
+        self.in_use + spare + self.refused.min(MAX_DEMAND)
+    }
+
     /// Takes the grant for the report of `asked_at` on the entry's clock.
     pub fn receive(&mut self, asked_at: TimePoint, life: (u64, u64), grant: CreditGrant) {
         if life != self.life || asked_at != self.asked_at {
--- a/crates/core/src/state/eject.rs
+++ b/crates/core/src/state/eject.rs
@@ -44,7 +44,6 @@
     failed: f64,
     count: f64,
     ejections: u32,
-    out_until: Option<TimePoint>,
 }
 
 /// Health of endpoints as this entry sees it.
@@ -52,6 +51,8 @@
 pub struct EjectionBook {
     settings: EjectSettings,
     health: HashMap<EndpointId, EndpointHealth>,
+    /// Ejected endpoints alone, so that counting them does not grow with all endpoints.
+    out: HashMap<EndpointId, TimePoint>,
 }
 
 impl EjectionBook {
@@ -65,10 +66,7 @@
 
     /// Whether `endpoint` is ejected now.
     pub fn is_ejected(&self, now: TimePoint, endpoint: &EndpointId) -> bool {
-        self.health
-            .get(endpoint)
-            .and_then(|health| health.out_until)
-            .is_some_and(|until| now < until)
+        self.out.get(endpoint).is_some_and(|until| now < *until)
     }
 
     /// Notes an answer of `endpoint`, one of `peers` endpoints of its service. Returns whether
@@ -80,19 +78,19 @@
         has_failed: bool,
         peers: usize,
     ) -> bool {
-        let ejected = self.ejected(now);
+        self.out.retain(|_, until| now < *until);
+        let ejected = self.out.len();
         let settings = &self.settings;
         let health = self.health.entry(endpoint.clone()).or_default();
         let keep = 1.0 - 1.0 / settings.memory;
         health.count = health.count * keep + 1.0;
         health.failed = health.failed * keep + f64::from(u8::from(has_failed));
         let share = health.failed / health.count;
-        if health.out_until.is_some_and(|until| now < until) {
+        if self.out.contains_key(endpoint) {
             return false;
         }
         if share < settings.leave_share {
             health.ejections = 0;
-            health.out_until = None;
         }
         let has_room = (ejected + 1) as f64 <= peers as f64 * settings.ejected_share;
         let is_bad = has_failed && share >= settings.enter_share;
@@ -101,20 +99,14 @@
         }
         let factor = 2_u32.saturating_pow(health.ejections.min(8));
         let stay = (settings.stay * factor).min(settings.longest_stay);
-        health.out_until = Some(now + stay);
         health.ejections += 1;
+        self.out.insert(endpoint.clone(), now + stay);
         true
     }
 
-    fn ejected(&self, now: TimePoint) -> usize {
-        self.health
-            .values()
-            .filter(|health| health.out_until.is_some_and(|until| now < until))
-            .count()
-    }
-
     /// Forgets an endpoint.
     pub fn forget(&mut self, endpoint: &EndpointId) {
         self.health.remove(endpoint);
+        self.out.remove(endpoint);
     }
 }
--- a/crates/core/src/state/ramp.rs
+++ b/crates/core/src/state/ramp.rs
@@ -8,8 +8,13 @@
 pub struct RampSettings {
     /// Requests that a cold endpoint gets at once.
     pub initial_slots: u32,
-    /// Percent by which the limit grows after as many healthy answers as the limit.
+    /// Percent by which the limit grows at each step.
     pub growth_percent: u32,
+    /// Answers before the next step, as a multiple of the limit.
+    pub answers_per_slot: u32,
+    /// Healthy answers in this life after which the endpoint is warm whatever its limit: more
+    /// evidence does not come where there is little traffic.
+    pub warm_after: u32,
     /// Share of slow answers that halves the limit.
     pub slow_share: f64,
 }
@@ -19,6 +24,8 @@
         Self {
             initial_slots: 1,
             growth_percent: 50,
+            answers_per_slot: 3,
+            warm_after: 300,
             slow_share: 0.34,
         }
     }
@@ -32,6 +39,7 @@
     full: u32,
     healthy: u32,
     slow: u32,
+    healthy_in_all: u32,
 }
 
 impl ColdRamp {
@@ -43,6 +51,7 @@
             full: full.max(1),
             healthy: 0,
             slow: 0,
+            healthy_in_all: 0,
         }
     }
 
@@ -61,7 +70,7 @@
 
     /// Whether the ramp is over.
     pub fn is_warm(&self) -> bool {
-        self.limit() >= self.full
+        self.limit() >= self.full || self.healthy_in_all >= self.settings.warm_after
     }
 
     /// Takes evidence: answers whose first token came in time, and answers that were slow or
@@ -73,7 +82,12 @@
         self.healthy += healthy;
         self.slow += slow;
         let seen = self.healthy + self.slow;
-        if seen < self.limit() {
+        if slow == 0 {
+            self.healthy_in_all += healthy;
+        } else {
+            self.healthy_in_all = 0;
+        }
+        if seen < self.limit() * self.settings.answers_per_slot {
             return;
         }
         let slow_share = f64::from(self.slow) / f64::from(seen);
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -138,6 +138,9 @@
             }
             Err(reason) => reason,
         };
+        if reason == NoEndpoint::AllCold {
+            context.demand.notify_one();
+        }
         let patience_ends = match reason {
             NoEndpoint::NoneAvailable => (began + EMPTY_POOL_PATIENCE).min(ticket.deadline),
             NoEndpoint::AllBusy | NoEndpoint::AllCold => ticket.deadline,
@@ -241,6 +244,11 @@
         attempt.choice.endpoint
     );
     attempt.finish(Some(failure));
-    let mut router = context.router();
-    router.next_step(clock::now(), pool, log, failure, ticket)
+    let next = context
+        .router()
+        .next_step(clock::now(), pool, log, failure, ticket);
+    if matches!(next, NextStep::Retry(_)) {
+        context.metrics.note_retry();
+    }
+    next
 }
--- a/crates/entry/src/chat.rs
+++ b/crates/entry/src/chat.rs
@@ -19,6 +19,7 @@
     RequestTicket, RunState, StepUsage, VersionChoice, bill_for,
 };
 use chestnutloft_core::state::{KeeperCommand, PoolKey, RouteArm, block_hashes};
+use chestnutloft_core::time::TimePoint;
 use chestnutloft_wire::clock;
 use chestnutloft_wire::http::{AnyBody, BodyError, json_response};
 
@@ -26,6 +27,7 @@
 use crate::context::EntryContext;
 use crate::engine::{self, EngineCall, EngineEvent, EngineUsage};
 use crate::explain::DecisionRecord;
+use crate::metrics::AnswerFigures;
 use crate::rating::AnswerSample;
 use crate::refuse::{body_of, response_of};
 use crate::session;
@@ -182,6 +184,7 @@
     request: ChatRequest,
     parts: mpsc::Sender<AnswerPart>,
     record: DecisionRecord,
+    first_sent: Option<TimePoint>,
 }
 
 /// The caller went away.
@@ -222,6 +225,7 @@
             request,
             parts,
             record,
+            first_sent: None,
         }
     }
 
@@ -233,6 +237,7 @@
             Err(StepFault::Refused(refusal)) => refusal.to_string(),
         };
         if let Err(StepFault::Refused(refusal)) = outcome {
+            self.context.metrics.note_refusal(&refusal);
             let _ = self.parts.send(AnswerPart::Failed(refusal)).await;
         }
         self.context
@@ -256,7 +261,8 @@
             arm => arm.version(),
         };
         steps.push(step_usage(answered_by, &answer.usage));
-        self.settle(&steps).await?;
+        let cost = self.settle(&steps).await?;
+        self.note_answer(answered_by, &answer, cost);
         self.sample(&choice, answered_by, &answer);
         let done = AnswerPart::Done(answer.usage, answered_by.clone());
         self.parts.send(done).await.map_err(|_| CallerGone)?;
@@ -340,7 +346,8 @@
         Ok(first)
     }
 
-    async fn deliver(&self, bytes: Bytes) -> Result<(), CallerGone> {
+    async fn deliver(&mut self, bytes: Bytes) -> Result<(), CallerGone> {
+        self.first_sent.get_or_insert_with(clock::now);
         let sent = self.parts.send(AnswerPart::Pieces(bytes)).await;
         sent.map_err(|_| CallerGone)
     }
@@ -421,7 +428,7 @@
     }
 
     async fn stream_attempt(
-        &self,
+        &mut self,
         version: &VersionId,
         attempt: &mut RunningAttempt,
         relay: &mut PieceRelay<Bytes>,
@@ -487,7 +494,7 @@
     }
 
     /// Books the one bill. The end of the answer goes out only after that.
-    async fn settle(&self, steps: &[StepUsage]) -> Result<(), Refusal> {
+    async fn settle(&self, steps: &[StepUsage]) -> Result<u64, Refusal> {
         let ticket = &self.request.ticket;
         let name = ticket
             .idempotency_key
@@ -503,8 +510,9 @@
                 &view,
             )
         };
+        let cost = bill.cost;
         let booked = self.context.keepers.run(KeeperCommand::Bill(bill)).await;
-        booked.map(|_| ()).map_err(|error| {
+        booked.map(|_| cost).map_err(|error| {
             Refusal::not_run(
                 RefusalCode::KeepersUnreachable,
                 format!("the answer could not be billed: {error}"),
@@ -513,6 +521,18 @@
         })
     }
 
+    fn note_answer(&self, answered_by: &VersionId, answer: &StepAnswer, cost: u64) {
+        let arrived = self.request.ticket.arrived;
+        let seen = AnswerFigures {
+            answered_by: answered_by.as_str(),
+            first_token: self.first_sent.map(|at| at.since(arrived)),
+            whole: clock::now().since(arrived),
+            tokens: answer.usage.completion_tokens,
+            cost,
+        };
+        self.context.metrics.note_answer(&self.request.ticket, seen);
+    }
+
     fn sample(&self, choice: &VersionChoice, answered_by: &VersionId, answer: &StepAnswer) {
         let ticket = &self.request.ticket;
         let make = || AnswerSample {
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
 
 use chestnutloft_core::ids::EntryId;
 use chestnutloft_core::ledger::AttemptId;
@@ -18,6 +18,7 @@
 use crate::credit::CreditDesk;
 use crate::explain::ExplainBook;
 use crate::keepers::KeeperClient;
+use crate::metrics::EntryMetrics;
 use crate::rating::RatingSampler;
 use crate::session::SessionCache;
 use crate::settings::EntrySettings;
@@ -44,6 +45,10 @@
     pub explain: ExplainBook,
     /// Samples answers for rating.
     pub ratings: RatingSampler,
+    /// Metrics.
+    pub metrics: EntryMetrics,
+    /// Tells that slots of cold endpoints are in demand.
+    pub demand: Notify,
     router: Mutex<RouterState>,
     lease: Mutex<EntryLease>,
     live: Mutex<Vec<LiveEntry>>,
@@ -89,6 +94,8 @@
             sessions: SessionCache::default(),
             explain: ExplainBook::default(),
             ratings: RatingSampler::new(&settings),
+            metrics: EntryMetrics::default(),
+            demand: Notify::new(),
             router: Mutex::new(parts.router),
             lease: Mutex::new(EntryLease::default()),
             live: Mutex::new(Vec::new()),
--- a/crates/entry/src/credit.rs
+++ b/crates/entry/src/credit.rs
@@ -114,7 +114,11 @@
 pub async fn run(context: Arc<EntryContext>) {
     let mut interval = tokio::time::interval(REPORT_INTERVAL);
     loop {
-        interval.tick().await;
+        // Demand that a cold endpoint could not meet is told at once; all else can wait a little.
+        tokio::select! {
+            _ = interval.tick() => {}
+            () = context.demand.notified() => {}
+        }
         let live = context.live().clone();
         context.desk().follow(clock::now(), &live, &context.entry);
         for (owner, items) in reports_by_owner(&context, &live) {
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -209,8 +209,3 @@
         answer
     })
 }
-
-/// The page for scraping.
-pub fn metrics_page() -> String {
-    String::new()
-}
--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -20,6 +20,7 @@
 
 use crate::chat::{self, ChatRequest};
 use crate::context::EntryContext;
+use crate::metrics::EntryLevels;
 use crate::plain::{self, PlainRequest};
 use crate::refuse::response_of;
 
@@ -47,12 +48,26 @@
         (&Method::POST, "/endpoint/v1/cache-events") => cache_event(&context, request).await,
         (&Method::GET, "/healthz") => text_response(200, "ok\n"),
         (&Method::GET, "/readyz") => ready(&context),
-        (&Method::GET, "/metrics") => text_response(200, crate::daemon::metrics_page()),
+        (&Method::GET, "/metrics") => text_response(200, metrics_page(&context)),
         (&Method::GET, path) if path.starts_with("/operator/") => operator(&context, &request),
         _ => text_response(404, "not found\n"),
     }
 }
 
+fn metrics_page(context: &EntryContext) -> String {
+    let levels = {
+        let router = context.router();
+        EntryLevels {
+            revision: router.plan.revision,
+            lease_left: context.lease().left(clock::now()),
+            waiting: router.waiting(),
+            in_flight: router.admit.in_flight(),
+            endpoints: router.registry.len(),
+        }
+    };
+    context.metrics.text(&levels)
+}
+
 fn ready(context: &EntryContext) -> Response<AnyBody> {
     if context.is_ready() {
         text_response(200, "ready\n")
@@ -98,7 +113,10 @@
 async fn answer_chat(context: Arc<EntryContext>, request: Request<Incoming>) -> Response<AnyBody> {
     match read_chat(&context, request).await {
         Ok(chat) => chat::answer(context, chat).await,
-        Err(refusal) => response_of(&refusal),
+        Err(refusal) => {
+            context.metrics.note_refusal(&refusal);
+            response_of(&refusal)
+        }
     }
 }
 
@@ -223,7 +241,10 @@
 async fn answer_plain(context: Arc<EntryContext>, request: Request<Incoming>) -> Response<AnyBody> {
     match read_plain(&context, request).await {
         Ok(plain) => plain::answer(context, plain).await,
-        Err(refusal) => response_of(&refusal),
+        Err(refusal) => {
+            context.metrics.note_refusal(&refusal);
+            response_of(&refusal)
+        }
     }
 }
 
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod explain;
 pub mod gateway;
 pub mod keepers;
+pub mod metrics;
 pub mod plain;
 pub mod rating;
 pub mod refuse;
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -23,6 +23,7 @@
 use crate::engine::NOT_RUN_HEADER;
 use crate::explain::DecisionRecord;
 use crate::keepers::KeeperError;
+use crate::metrics::AnswerFigures;
 use crate::refuse::response_of;
 
 /// Largest answer of a plain service, in bytes.
@@ -98,6 +99,7 @@
         let outcome = carry_out(&context, &request).await;
         context.router().admit.finish(&request.ticket.workspace);
         context.explain.keep(record_of(&request, &outcome));
+        note_outcome(&context, &request, &outcome);
         let is_counted = request.ticket.is_idempotent && outcome.is_ok();
         let _ = reply.send(outcome);
         if is_counted {
@@ -136,6 +138,26 @@
     }
 }
 
+fn note_outcome(
+    context: &EntryContext,
+    request: &PlainRequest,
+    outcome: &Result<EndpointAnswer, Refusal>,
+) {
+    match outcome {
+        Err(refusal) => context.metrics.note_refusal(refusal),
+        Ok(_) => context.metrics.note_answer(
+            &request.ticket,
+            AnswerFigures {
+                answered_by: request.ticket.service.as_ref().map_or("", |s| s.as_str()),
+                first_token: None,
+                whole: clock::now().since(request.ticket.arrived),
+                tokens: 0,
+                cost: 0,
+            },
+        ),
+    }
+}
+
 /// Counts an idempotent request. It costs nothing, so the answer does not wait for this.
 async fn count_lookup(context: &EntryContext, request: &PlainRequest) {
     let bill = {
--- a/crates/keeper/src/daemon.rs
+++ b/crates/keeper/src/daemon.rs
@@ -20,6 +20,7 @@
 use chestnutloft_wire::{clock, http};
 
 use crate::actor::{ReplicaActor, ReplicaArguments, ReplicaMessage};
+use crate::metrics::KeeperMetrics;
 use crate::operator::OperatorDoor;
 use crate::settings::KeeperSettings;
 use crate::storage::{DataFolder, StorageError};
@@ -138,6 +139,7 @@
         let door = OperatorDoor {
             replica: replica.clone(),
             key_hashes: settings.operator_key_hashes.clone().into(),
+            metrics: KeeperMetrics::default(),
         };
         let service = move |request| door.clone().answer(request);
         let door = tokio::spawn(http::serve(listener, stopped, SHUTDOWN_PATIENCE, service));
@@ -222,8 +224,3 @@
         answer
     })
 }
-
-/// The page for scraping.
-pub fn metrics_page() -> String {
-    String::new()
-}
--- a/crates/keeper/src/lib.rs
+++ b/crates/keeper/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod actor;
 pub mod daemon;
 pub mod host;
+pub mod metrics;
 pub mod operator;
 pub mod outbox;
 pub mod settings;
--- /dev/null
+++ b/crates/keeper/src/metrics.rs
@@ -0,0 +1,70 @@
+//! Metrics of a keeper.
+
+use opentelemetry::metrics::Gauge;
+
+use chestnutloft_wire::metrics::MetricsPage;
+
+use crate::status::ClusterStatus;
+
+/// Instruments of a keeper.
+#[derive(Clone, Debug)]
+pub struct KeeperMetrics {
+    page: MetricsPage,
+    term: Gauge<u64>,
+    commit: Gauge<u64>,
+    snapshot: Gauge<u64>,
+    journal: Gauge<u64>,
+    serving: Gauge<u64>,
+    accepted: Gauge<u64>,
+    in_force: Gauge<u64>,
+    claims: Gauge<u64>,
+    bindings: Gauge<u64>,
+    live_entries: Gauge<u64>,
+}
+
+impl Default for KeeperMetrics {
+    fn default() -> Self {
+        let page = MetricsPage::default();
+        let meter = page.meter("chestnutloft.keeper");
+        let gauge = |name: &'static str, what: &'static str| {
+            meter.u64_gauge(name).with_description(what).build()
+        };
+        Self {
+            term: gauge("chestnutloft.log.term", "Election term"),
+            commit: gauge("chestnutloft.log.commit", "Newest committed index"),
+            snapshot: gauge("chestnutloft.log.snapshot", "Index of the newest snapshot"),
+            journal: gauge("chestnutloft.log.journal_bytes", "Bytes of the journal"),
+            serving: gauge(
+                "chestnutloft.log.serving",
+                "1 while this keeper leads with a lease",
+            ),
+            accepted: gauge("chestnutloft.plan.accepted", "Newest accepted revision"),
+            in_force: gauge(
+                "chestnutloft.plan.in_force",
+                "Newest revision in force everywhere",
+            ),
+            claims: gauge("chestnutloft.ledger.claims", "Claims, with tombstones"),
+            bindings: gauge("chestnutloft.ledger.bindings", "Session bindings"),
+            live_entries: gauge("chestnutloft.entries.live", "Entries whose lease runs"),
+            page,
+        }
+    }
+}
+
+impl KeeperMetrics {
+    /// The page for `status`.
+    pub fn text(&self, status: &ClusterStatus) -> String {
+        let live = status.entries.iter().filter(|entry| entry.is_live).count();
+        self.term.record(status.term, &[]);
+        self.commit.record(status.commit, &[]);
+        self.snapshot.record(status.snapshot, &[]);
+        self.journal.record(status.journal_bytes, &[]);
+        self.serving.record(u64::from(status.is_serving), &[]);
+        self.accepted.record(status.accepted, &[]);
+        self.in_force.record(status.in_force.unwrap_or(0), &[]);
+        self.claims.record(status.ledger.claims as u64, &[]);
+        self.bindings.record(status.ledger.bindings as u64, &[]);
+        self.live_entries.record(live as u64, &[]);
+        self.page.text()
+    }
+}
--- a/crates/keeper/src/operator.rs
+++ b/crates/keeper/src/operator.rs
@@ -19,6 +19,7 @@
 use chestnutloft_wire::message::RunReply;
 
 use crate::actor::ReplicaMessage;
+use crate::metrics::KeeperMetrics;
 
 /// Largest change, in bytes.
 const MAX_CHANGE_BYTES: usize = 64 * 1024 * 1024;
@@ -59,6 +60,8 @@
     pub replica: ActorRef<ReplicaMessage>,
     /// Hashes of operators' keys; empty lets everyone in.
     pub key_hashes: Arc<[String]>,
+    /// Metrics of this keeper.
+    pub metrics: KeeperMetrics,
 }
 
 fn error_response(status: u16, code: &str, message: impl Into<String>) -> Response<AnyBody> {
@@ -81,7 +84,7 @@
             return text_response(200, "ok\n");
         }
         if path == "/metrics" {
-            return text_response(200, crate::daemon::metrics_page());
+            return self.metrics_page().await;
         }
         let key = bearer_key(header(&request, "authorization"));
         let is_known = key.is_some_and(|key| fits_any(key, &self.key_hashes));
@@ -106,6 +109,12 @@
             .ok()?
             .ok()
     }
+    async fn metrics_page(&self) -> Response<AnyBody> {
+        match self.ask(ReplicaMessage::Status).await {
+            Some(status) => text_response(200, self.metrics.text(&status)),
+            None => not_serving(),
+        }
+    }
 
     async fn status(&self) -> Response<AnyBody> {
         match self.ask(ReplicaMessage::Status).await {
--- a/crates/plan/src/read.rs
+++ b/crates/plan/src/read.rs
@@ -344,6 +344,7 @@
         }
         let mut findings = self.findings.kept;
         findings.sort();
+        findings.dedup();
         ReadPlan {
             declaration: self.plan,
             findings,
--- /dev/null
+++ b/crates/plan/tests/golden.rs
@@ -0,0 +1,352 @@
+//! Golden files of whole sessions: a sheet goes in, announcements, requests and answers follow.
+
+use std::collections::BTreeSet;
+use std::fmt::Write;
+use std::path::Path;
+use std::time::Duration;
+
+use chestnutloft_core::ids::{EndpointId, VersionId};
+use chestnutloft_core::ledger::{
+    AttemptId, BindOutcome, ClaimRequest, RequestKey, SessionKey, StoredAnswer,
+};
+use chestnutloft_core::pipe::{
+    AttemptFailure, AttemptLog, RequestHead, RouteObservation, RouterSettings, RouterState,
+    StepUsage, bill_for, read_ticket,
+};
+use chestnutloft_core::plan::{PlanChange, SubmittedChange, SubmittedContent};
+use chestnutloft_core::state::{
+    CreditGrant, EndpointAnnouncement, EndpointLoad, KeeperCommand, KeeperOutcome, KeeperState,
+    PoolKey, StampedCommand,
+};
+use chestnutloft_core::time::TimePoint;
+use chestnutloft_plan::read_plan;
+use expect_test::expect_file;
+
+/// A session between the planners' sheet, two endpoints in each failure domain, and callers.
+struct GoldenSession {
+    keeper: KeeperState,
+    router: RouterState,
+    now: TimePoint,
+    transcript: String,
+    announced: Option<String>,
+}
+
+impl GoldenSession {
+    fn start(example: &str, morning: u64) -> Self {
+        let folder = Path::new(env!("CARGO_MANIFEST_DIR"))
+            .join("../../examples")
+            .join(example);
+        let read = read_plan(&folder);
+        assert_eq!(read.findings, Vec::new());
+        let mut session = Self {
+            keeper: KeeperState::default(),
+            router: RouterState::new(RouterSettings::default(), None, 11),
+            now: TimePoint::from_secs(morning),
+            transcript: String::new(),
+            announced: None,
+        };
+        let content = SubmittedContent::Declaration(Box::new(read.declaration));
+        session.submit("planner", Some(0), content);
+        session
+    }
+
+    fn line(&mut self, text: &str) {
+        let second = self.now.as_secs() % 86_400;
+        let _ = writeln!(
+            self.transcript,
+            "{:02}:{:02}:{:02} {text}",
+            second / 3_600,
+            second / 60 % 60,
+            second % 60
+        );
+    }
+
+    /// Time passes, and endpoints go on announcing themselves.
+    fn pass(&mut self, seconds: u64) {
+        self.now = self.now + Duration::from_secs(seconds);
+        if let Some(service) = self.announced.clone() {
+            self.announce_quietly(&service);
+        }
+    }
+
+    fn run(&mut self, command: KeeperCommand) -> KeeperOutcome {
+        let stamp = self.now;
+        self.keeper.apply(&StampedCommand { stamp, command })
+    }
+
+    fn submit(&mut self, operator: &str, base: Option<u64>, content: SubmittedContent) {
+        let change = SubmittedChange {
+            operator: operator.to_owned(),
+            base,
+            content,
+        };
+        let outcome = self.run(KeeperCommand::Submit(Box::new(change)));
+        let update = self.keeper.plan.update_from(self.router.plan.revision);
+        update.apply(&mut self.router.plan);
+        let newest = self.keeper.plan.recent_changes().next();
+        let sentences = newest.map_or(0, |(_, _, sentences)| sentences.len());
+        self.line(&format!(
+            "plan: {operator}: {outcome:?}, {sentences} sentences"
+        ));
+    }
+
+    fn change(&mut self, operator: &str, change: PlanChange) {
+        self.submit(operator, None, SubmittedContent::Change(change));
+    }
+
+    /// All model endpoints announce themselves.
+    fn announce_all(&mut self, service: &str) {
+        self.announced = Some(service.to_owned());
+        let outcomes = self.announce_quietly(service);
+        self.line(&format!("registry: {outcomes}"));
+    }
+
+    fn announce_quietly(&mut self, service: &str) -> String {
+        let declared = &self.router.plan.declaration.versions;
+        let versions: BTreeSet<VersionId> = declared.keys().cloned().collect();
+        let domains: Vec<_> = self
+            .router
+            .plan
+            .declaration
+            .domains
+            .keys()
+            .cloned()
+            .collect();
+        let mut outcomes = Vec::new();
+        for domain in domains {
+            let endpoint: EndpointId = format!("{service}-{domain}").parse().expect("an id");
+            let announcement = EndpointAnnouncement {
+                endpoint: endpoint.clone(),
+                incarnation: 1,
+                sequence: self.now.as_secs(),
+                service: service.parse().expect("an id"),
+                domain,
+                address: "127.0.0.1:9".to_owned(),
+                versions: versions.clone(),
+                slots: 8,
+                is_leaving: false,
+                load: EndpointLoad::default(),
+            };
+            let outcome = self.router.announce(self.now, announcement);
+            let wallet = &mut self.router.usages.entry(&endpoint).wallet;
+            let life = wallet.life();
+            let grant = CreditGrant {
+                is_warm: true,
+                ..CreditGrant::default()
+            };
+            wallet.receive(TimePoint::ZERO, life, grant);
+            outcomes.push(format!("{endpoint} {outcome:?}"));
+        }
+        outcomes.join(", ")
+    }
+
+    /// One request to a model, answered by the first or second endpoint.
+    fn ask(&mut self, workspace: &str, kind: &str, session: Option<&str>, first_fails: bool) {
+        let head = RequestHead {
+            method: "POST",
+            path: "/v1/chat/completions",
+            workspace: Some(workspace),
+            kind: Some(kind),
+            session,
+            prompt_bytes: 2_400,
+            ..RequestHead::default()
+        };
+        let view = self.router.view(self.now);
+        let ticket = match read_ticket(self.now, &head, &view, &self.router.settings.ticket) {
+            Ok(ticket) => ticket,
+            Err(refusal) => return self.line(&format!("ask {workspace}/{kind}: {refusal}")),
+        };
+        let name = format!(
+            "{workspace}/{kind}{}",
+            session.map_or(String::new(), |s| format!("/{s}"))
+        );
+        if let Err(refusal) = self.router.admit(self.now, self.now, &ticket) {
+            return self.line(&format!("ask {name}: {refusal}"));
+        }
+        let choice = match self.router.choose_version(self.now, self.now, &ticket) {
+            Ok(choice) => choice,
+            Err(refusal) => return self.line(&format!("ask {name}: {refusal}")),
+        };
+        let mut version = choice.arm.version().clone();
+        let mut reason = format!("{:?}", choice.reason);
+        if let Some(session) = session {
+            let key = SessionKey::new(&ticket.workspace, session);
+            let outcome = self.run(KeeperCommand::Bind {
+                session: key,
+                wish: version.clone(),
+            });
+            if let KeeperOutcome::Bind(BindOutcome::Bound(bound)) = outcome {
+                reason = if bound == version {
+                    reason
+                } else {
+                    "Bound".to_owned()
+                };
+                version = bound;
+            }
+        }
+        let pool = PoolKey::Version(version.clone());
+        let mut log = AttemptLog::default();
+        let mut tried = Vec::new();
+        for number in 0..2 {
+            let failure = (number == 0 && first_fails).then_some(AttemptFailure::Broken);
+            let started = self
+                .router
+                .start_attempt(self.now, self.now, &pool, 600, &[], &mut log);
+            let Ok(endpoint) = started else { break };
+            let seen = RouteObservation {
+                first_token: Some(Duration::from_millis(60)),
+                whole: Duration::from_secs(2),
+                failure,
+            };
+            self.router.finish_attempt(self.now, &pool, &endpoint, seen);
+            tried.push(format!(
+                "{} {}",
+                endpoint.endpoint,
+                failure.map_or("answers", |_| "breaks")
+            ));
+            if failure.is_none() {
+                break;
+            }
+        }
+        let usage = StepUsage {
+            version: Some(version.clone()),
+            input_tokens: 600,
+            output_tokens: 250,
+        };
+        let key = RequestKey::new(&ticket.workspace, &self.now.as_secs().to_string());
+        let bill = bill_for(&ticket, key, &[usage], &self.router.view(self.now));
+        let cost = bill.cost;
+        let first = self.run(KeeperCommand::Bill(bill.clone()));
+        let again = self.run(KeeperCommand::Bill(bill));
+        self.router.admit.finish(&ticket.workspace);
+        self.line(&format!(
+            "ask {name}: {version} ({reason}) on {}; bill {cost}: {first:?}, again {again:?}",
+            tried.join(", ")
+        ));
+    }
+
+    /// One booking, claimed by two attempts.
+    fn book(&mut self, workspace: &str, key: &str) {
+        let workspace = workspace.parse().expect("an id");
+        let key_of = RequestKey::new(&workspace, key);
+        let claim = |number| ClaimRequest {
+            key: key_of,
+            fingerprint: 9,
+            attempt: AttemptId {
+                entry: "entry-1".parse().expect("an id"),
+                incarnation: 1,
+                number,
+            },
+            deadline: self.now + Duration::from_secs(30),
+        };
+        let (one, two, three) = (claim(1), claim(2), claim(3));
+        let first = self.run(KeeperCommand::Claim(one.clone()));
+        let second = self.run(KeeperCommand::Claim(two));
+        let answer = StoredAnswer {
+            status: 200,
+            content_type: "text/plain".to_owned(),
+            body: Some(b"booked".to_vec()),
+        };
+        let view = self.router.view(self.now);
+        let head = RequestHead {
+            workspace: Some(workspace.as_str()),
+            ..RequestHead::default()
+        };
+        let ticket =
+            read_ticket(self.now, &head, &view, &self.router.settings.ticket).expect("sound");
+        let bill = bill_for(&ticket, key_of, &[], &view);
+        let settled = self.run(KeeperCommand::Settle {
+            key: key_of,
+            attempt: one.attempt,
+            answer,
+            bill,
+        });
+        let third = self.run(KeeperCommand::Claim(three));
+        let stored = format!("{third:?}").contains("Settled");
+        self.line(&format!(
+            "book {workspace}/{key}: {first:?}, meanwhile {second:?}, {settled:?}, later stored: {stored}"
+        ));
+    }
+
+    fn finish(mut self) -> String {
+        let rows: Vec<String> = self
+            .keeper
+            .ledger
+            .spend()
+            .iter()
+            .map(|(key, cell)| {
+                let version = key.version.as_ref().map_or("plain", |v| v.as_str());
+                format!(
+                    "{} {version}: {} for {}",
+                    key.workspace, cell.requests, cell.cost
+                )
+            })
+            .collect();
+        for row in rows {
+            self.line(&format!("spend: {row}"));
+        }
+        self.transcript
+    }
+}
+
+/// 2026-12-08 00:00 in UTC.
+const MORNING: u64 = 1_796_688_000;
+
+#[test]
+fn kitamiya_day() {
+    let mut session = GoldenSession::start("kitamiya", MORNING + 3 * 3_600 + 3_000);
+    session.announce_all("assistant-llm");
+    session.ask("demo", "quick", None, false);
+    session.pass(1);
+    session.ask("sapporo-wheelworks", "diagnosis", Some("bike-7"), false);
+    session.pass(1);
+    session.ask("sapporo-wheelworks", "diagnosis", Some("bike-7"), true);
+    session.book("otaru-shops", "refill-1");
+    session.ask("nobody", "quick", None, false);
+    session.pass(900);
+    session.announce_all("assistant-llm");
+    // The planned outage of obihiro has begun: 13:00 in Tokyo.
+    for _ in 0..4 {
+        session.ask("demo", "quick", None, false);
+        session.pass(1);
+    }
+    let version = "summit@1".parse().expect("an id");
+    let successor = Some("ridge@2".parse().expect("an id"));
+    session.change("aiko", PlanChange::Withdraw { version, successor });
+    session.ask("sapporo-wheelworks", "diagnosis", Some("bike-7"), false);
+    session.pass(60);
+    session.ask("demo", "quick", None, false);
+
+    expect_file!["golden/kitamiya.txt"].assert_eq(&session.finish());
+}
+
+#[test]
+fn piso_vivo_day() {
+    let mut session = GoldenSession::start("piso-vivo", MORNING + 14 * 3_600);
+    session.announce_all("redactor");
+    session.ask("parroquias-bogota", "dossier", None, false);
+    session.pass(1);
+    session.ask("escuelas-antioquia", "estimate", Some("floor-3"), false);
+    session.pass(1);
+    session.change(
+        "jorge",
+        PlanChange::DrainDomain("bog-sur".parse().expect("an id")),
+    );
+    for _ in 0..4 {
+        session.ask("escuelas-antioquia", "crack", None, false);
+        session.pass(1);
+    }
+    session.change(
+        "jorge",
+        PlanChange::ReturnDomain("bog-sur".parse().expect("an id")),
+    );
+    session.ask("escuelas-antioquia", "estimate", Some("floor-3"), true);
+    session.book("casas-candelaria", "deposit-1");
+    let version = "cantera@3".parse().expect("an id");
+    let reason = "a draft was wrong".to_owned();
+    session.change("jorge", PlanChange::Quarantine { version, reason });
+    session.pass(1);
+    session.ask("escuelas-antioquia", "estimate", Some("floor-3"), false);
+
+    expect_file!["golden/piso-vivo.txt"].assert_eq(&session.finish());
+}
--- /dev/null
+++ b/crates/solo/tests/failures.rs
@@ -0,0 +1,351 @@
+//! What must always hold, under failures, with daemons on loopback.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use chestnutloft_core::plan::{
+    ChangeOutcome, PlanChange, PlanDeclaration, SubmittedChange, SubmittedContent,
+};
+use chestnutloft_keeper::daemon::KeeperDaemon;
+use chestnutloft_solo::caller::{CallerAnswer, ModelCall, SampleCaller};
+use chestnutloft_solo::cluster::{ClusterSettings, SoloCluster, loopback};
+use chestnutloft_solo::{example, sample};
+use chestnutloft_standin::text::ScriptedAnswer;
+
+struct Fixture {
+    cluster: SoloCluster,
+    settings: ClusterSettings,
+    _data: tempfile::TempDir,
+}
+
+fn plan() -> PlanDeclaration {
+    let mut plan = sample::hasten(example::plan().expect("the example is sound"));
+    plan.rollouts.clear();
+    plan
+}
+
+async fn start(keepers: u64, entries: usize) -> Fixture {
+    let data = tempfile::tempdir().expect("a folder");
+    let settings = ClusterSettings {
+        keepers,
+        entries,
+        ..ClusterSettings::small(data.path(), plan())
+    };
+    let cluster = SoloCluster::start(&settings).await.expect("starts");
+    Fixture {
+        cluster,
+        settings,
+        _data: data,
+    }
+}
+
+fn bookings(cluster: &SoloCluster, key: &str) -> u32 {
+    let seats = cluster.plains.iter();
+    seats
+        .filter_map(|seat| seat.plain.bookings().get(key).copied())
+        .sum()
+}
+
+async fn book(
+    cluster: &SoloCluster,
+    caller: &SampleCaller,
+    entry: usize,
+    key: &str,
+) -> CallerAnswer {
+    let address = cluster.entry_addresses()[entry];
+    caller
+        .call_plain(address, "POST", "/order-svc/refills", Some(key), "{}")
+        .await
+}
+
+async fn leader(cluster: &SoloCluster) -> usize {
+    loop {
+        if let Some(status) = cluster.status().await
+            && let Some(id) = status.leader
+        {
+            return id as usize - 1;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bookings_run_once_while_keepers_are_killed_in_turn() {
+    let mut fixture = start(3, 2).await;
+    let caller = SampleCaller::default();
+
+    for round in 0..3 {
+        let killed = leader(&fixture.cluster).await;
+        let key = format!("booking-{round}");
+        let first = book(&fixture.cluster, &caller, 0, &key).await;
+        let keeper = fixture.cluster.keepers[killed].take().expect("runs");
+        keeper.shut_down().await;
+        let repeat = book(&fixture.cluster, &caller, 1, &key).await;
+        let settings = fixture.cluster.keeper_settings[killed].clone();
+        let restarted = KeeperDaemon::start(settings).await.expect("restarts");
+        fixture.cluster.keepers[killed] = Some(restarted);
+
+        assert_eq!(first.status, 200, "{first:?}");
+        assert_eq!(repeat.text, first.text, "round {round}: {repeat:?}");
+        assert_eq!(bookings(&fixture.cluster, &key), 1);
+    }
+    fixture.cluster.shut_down().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_broken_booking_is_never_run_again() {
+    let fixture = start(1, 2).await;
+    let caller = SampleCaller::default();
+    for seat in &fixture.cluster.plains {
+        seat.plain
+            .change(|behaviour| behaviour.breaks_after_run = true);
+    }
+
+    let first = book(&fixture.cluster, &caller, 0, "lost").await;
+    let repeat = book(&fixture.cluster, &caller, 1, "lost").await;
+
+    assert_eq!(first.refusal["error"]["ran"], "unknown", "{first:?}");
+    assert_eq!(
+        repeat.refusal["error"]["code"], "outcome_unknown",
+        "{repeat:?}"
+    );
+    assert_eq!(bookings(&fixture.cluster, "lost"), 1);
+    fixture.cluster.shut_down().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refusal_that_says_not_run_is_true() {
+    let fixture = start(1, 1).await;
+    let caller = SampleCaller::default();
+    for seat in &fixture.cluster.plains {
+        seat.plain.change(|behaviour| behaviour.is_refusing = true);
+    }
+
+    let refused = book(&fixture.cluster, &caller, 0, "refused").await;
+    for seat in &fixture.cluster.plains {
+        seat.plain.change(|behaviour| behaviour.is_refusing = false);
+    }
+    let again = book(&fixture.cluster, &caller, 0, "refused").await;
+
+    assert_eq!(refused.refusal["error"]["ran"], "not_run", "{refused:?}");
+    assert_eq!(again.status, 200, "{again:?}");
+    assert_eq!(bookings(&fixture.cluster, "refused"), 1);
+    fixture.cluster.shut_down().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_cut_stream_is_resumed_whole_and_in_order() {
+    let fixture = start(1, 1).await;
+    let caller = SampleCaller::default();
+    let entry = fixture.cluster.entry_addresses()[0];
+    fixture.cluster.engines[0]
+        .engine
+        .change(|behaviour| behaviour.cut_after = Some(3));
+    let mut whole = 0;
+
+    for number in 0..40 {
+        let prompt = format!("prompt {number}");
+        let call = ModelCall {
+            model: "ridge@2",
+            prompt: &prompt,
+            ..ModelCall::default()
+        };
+        let answer = caller.ask(entry, &call).await;
+
+        let messages = format!("[{{\"content\":\"{prompt}\",\"role\":\"user\"}}]");
+        let expected = ScriptedAnswer::new("ridge@2", &messages, 0.91, 20).whole();
+        assert_eq!(answer.text, expected, "{answer:?}");
+        whole += usize::from(answer.is_whole);
+    }
+
+    assert_eq!(whole, 40);
+    let begun: u64 = fixture.cluster.engines[0]
+        .engine
+        .counts()
+        .begun
+        .values()
+        .sum();
+    assert!(begun > 0, "the cutting engine took part");
+    fixture.cluster.shut_down().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_withdrawn_version_receives_nothing_and_its_sessions_move_once() {
+    let fixture = start(3, 2).await;
+    let caller = SampleCaller::default();
+    let entries = fixture.cluster.entry_addresses();
+    let call = ModelCall {
+        model: "swift@3",
+        session: Some("rider"),
+        ..ModelCall::default()
+    };
+    let before = caller.ask(entries[0], &call).await;
+    let version = "swift@3".parse().expect("an id");
+    let successor = Some("swift@4".parse().expect("an id"));
+
+    let change = PlanChange::Withdraw { version, successor };
+    fixture.cluster.change(change).await.expect("in force");
+    let begun = |name: &str| -> u64 {
+        let version = name.parse().expect("an id");
+        let engines = fixture.cluster.engines.iter();
+        engines
+            .filter_map(|seat| seat.engine.counts().begun.get(&version).copied())
+            .sum()
+    };
+    let begun_before = begun("swift@3");
+    let mut versions = BTreeSet::new();
+    for number in 0..6 {
+        let call = ModelCall {
+            session: Some("rider"),
+            ..ModelCall::default()
+        };
+        versions.insert(caller.ask(entries[number % 2], &call).await.version);
+    }
+
+    assert_eq!(before.version, "swift@3", "{before:?}");
+    assert_eq!(versions, BTreeSet::from(["swift@4".to_owned()]));
+    assert_eq!(begun("swift@3"), begun_before);
+    fixture.cluster.shut_down().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn racing_operators_get_one_winner_and_a_resend_gets_the_first_answer() {
+    let fixture = start(3, 1).await;
+    let base = fixture
+        .cluster
+        .status()
+        .await
+        .map(|status| status.declared_at);
+    let change = |operator: &str, weight: f64| {
+        let mut plan = plan();
+        let id = "demo".parse().expect("an id");
+        plan.workspaces.get_mut(&id).expect("declared").weight = weight;
+        SubmittedChange {
+            operator: operator.to_owned(),
+            base,
+            content: SubmittedContent::Declaration(Box::new(plan)),
+        }
+    };
+
+    let (first, second) = tokio::join!(
+        fixture.cluster.submit(change("aiko", 2.0)),
+        fixture.cluster.submit(change("jorge", 3.0)),
+    );
+    let outcomes = [("aiko", 2.0, first), ("jorge", 3.0, second)];
+
+    let won = |outcome: &Option<ChangeOutcome>| matches!(outcome, Some(ChangeOutcome::Accepted(_)));
+    let winners: Vec<_> = outcomes.iter().filter(|(_, _, o)| won(o)).collect();
+    assert_eq!(winners.len(), 1, "{outcomes:?}");
+    let (operator, weight, answer) = winners[0];
+    let resent = fixture.cluster.submit(change(operator, *weight)).await;
+    assert_eq!(&resent, answer);
+    let conflict = outcomes.iter().find(|(_, _, o)| !won(o)).expect("one lost");
+    assert!(
+        matches!(&conflict.2, Some(ChangeOutcome::Conflict { winner, .. }) if winner == operator),
+        "{conflict:?}"
+    );
+    fixture.cluster.shut_down().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_graceful_shutdown_cuts_no_request() {
+    let mut fixture = start(1, 2).await;
+    for seat in &fixture.cluster.engines {
+        seat.engine.change(|behaviour| behaviour.piece_us = 20_000);
+    }
+    let caller = SampleCaller::default();
+    let leaving = fixture.cluster.entry_addresses()[0];
+    let running: Vec<_> = (0..6)
+        .map(|number| {
+            let caller = caller.clone();
+            tokio::spawn(async move {
+                let prompt = format!("long {number}");
+                let call = ModelCall {
+                    prompt: &prompt,
+                    ..ModelCall::default()
+                };
+                caller.ask(leaving, &call).await
+            })
+        })
+        .collect();
+    tokio::time::sleep(Duration::from_millis(60)).await;
+
+    let entry = fixture.cluster.entries[0].take().expect("runs");
+    entry.shut_down().await;
+
+    for request in running {
+        let answer = request.await.expect("no panic");
+        // A request that came after the door closed may be refused, and says so truthfully.
+        let is_refused = answer.refusal["error"]["ran"] == "not_run" || answer.status == 0;
+        assert!(answer.is_whole || is_refused, "{answer:?}");
+    }
+    fixture.cluster.shut_down().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_without_keepers_refuses_truthfully_and_recovers() {
+    let mut fixture = start(1, 1).await;
+    let caller = SampleCaller::default();
+    let entry = fixture.cluster.entry_addresses()[0];
+    let keeper = fixture.cluster.keepers[0].take().expect("runs");
+    keeper.shut_down().await;
+
+    let refusal = loop {
+        let answer = caller.ask(entry, &ModelCall::default()).await;
+        if answer.refusal["error"]["code"] == "not_in_force" {
+            break answer;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    };
+    let settings = fixture.cluster.keeper_settings[0].clone();
+    fixture.cluster.keepers[0] = Some(KeeperDaemon::start(settings).await.expect("restarts"));
+    let recovered = loop {
+        let answer = caller.ask(entry, &ModelCall::default()).await;
+        if answer.is_whole {
+            break answer;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    };
+
+    assert_eq!(refusal.refusal["error"]["ran"], "not_run");
+    assert_eq!(recovered.status, 200);
+    let _ = (loopback(), &fixture.settings);
+    fixture.cluster.shut_down().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_requests_get_clear_errors() {
+    let fixture = start(1, 1).await;
+    let caller = SampleCaller::default();
+    let entry = fixture.cluster.entry_addresses()[0];
+    let ask = async |call: ModelCall<'_>| {
+        let answer = caller.ask(entry, &call).await;
+        (
+            answer.status,
+            answer.refusal["error"]["code"]
+                .as_str()
+                .unwrap_or("")
+                .to_owned(),
+        )
+    };
+
+    let unknown = ask(ModelCall {
+        workspace: "nobody",
+        ..ModelCall::default()
+    })
+    .await;
+    let forbidden = ask(ModelCall {
+        workspace: "abashiri-ice",
+        model: "summit@1",
+        ..ModelCall::default()
+    })
+    .await;
+    let service = caller
+        .call_plain(entry, "GET", "/nothing/here", None, "")
+        .await;
+
+    assert_eq!(unknown, (403, "unknown_workspace".to_owned()));
+    assert_eq!(forbidden, (403, "version_not_allowed".to_owned()));
+    assert_eq!(service.status, 404);
+    fixture.cluster.shut_down().await;
+}
--- a/crates/standin/src/load.rs
+++ b/crates/standin/src/load.rs
@@ -155,8 +155,8 @@
             Some((first, bytes)) => {
                 report.answered += 1;
                 report.bytes += bytes;
-                report.first_byte.saturating_record(micros(first - sent));
-                report.whole.saturating_record(micros(sent.elapsed()));
+                let _ = report.first_byte.record(micros(first - sent));
+                let _ = report.whole.record(micros(sent.elapsed()));
             }
             None => report.failed += 1,
         }
--- a/crates/standin/src/plain.rs
+++ b/crates/standin/src/plain.rs
@@ -132,7 +132,9 @@
             0
         }
     };
-    tokio::time::sleep(Duration::from_millis(behaviour.answer_ms)).await;
+    if behaviour.answer_ms > 0 {
+        tokio::time::sleep(Duration::from_millis(behaviour.answer_ms)).await;
+    }
     lock(&state).running -= 1;
     if behaviour.breaks_after_run {
         return broken_response();
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod http;
 pub mod logs;
 pub mod message;
+pub mod metrics;
 #[allow(missing_docs, clippy::all, clippy::pedantic)]
 pub mod peer_capnp;
 pub mod rpc;
