Say the ramp experiments and shapes of kinds once

Change: one function for both ramp experiments, a constructor for kinds, a free function, hashing outside the lock. No bound, check or policy is touched.

--- a/crates/bench/src/scenario.rs
+++ b/crates/bench/src/scenario.rs
@@ -354,16 +354,36 @@
 
 /// Service while a failure domain leaves and returns.
 pub fn domains(size: ScenarioSize) -> FigureTable {
-    let mut table = FigureTable::new(
-        "A failure domain out and back cold, at 50% load",
-        &[
-            "user",
-            "ramp",
-            "refused",
-            "first token over 2 s",
-            "starts above what a cold endpoint bears",
-        ],
-    );
+    let events = |day: &DrawnDay, length: f64| {
+        let domain = day.domains[0].clone();
+        vec![
+            (length * 0.3, DayEvent::Drain(domain.clone())),
+            (length * 0.6, DayEvent::Return(domain)),
+        ]
+    };
+    let title = "A failure domain out and back cold, at 50% load";
+    cold_ramps(size, title, 0.5, ("first token over 2 s", 2_000.0), events)
+}
+
+/// Every endpoint turns cold at once.
+pub fn all_cold(size: ScenarioSize) -> FigureTable {
+    let events = |_: &DrawnDay, length: f64| vec![(length * 0.3, DayEvent::AllCold)];
+    let title = "Every endpoint restarts cold at once, at 40% load";
+    let late = ("answered late (over 20 s)", 20_000.0);
+    cold_ramps(size, title, 0.4, late, events)
+}
+
+/// Ramps of cold endpoints against each other, under the same events. `late` names and bounds the
+/// first token, in milliseconds, that counts as late.
+fn cold_ramps(
+    size: ScenarioSize,
+    title: &str,
+    load: f64,
+    late: (&str, f64),
+    events: impl Fn(&DrawnDay, f64) -> Vec<(f64, DayEvent)> + Sync,
+) -> FigureTable {
+    let starts = "starts above what a cold endpoint bears";
+    let mut table = FigureTable::new(title, &["user", "ramp", "refused", late.0, starts]);
     for shape in [kitamiya(), piso_vivo()] {
         for (name, ramp) in [
             ("on evidence", RampPolicy::Evidence),
@@ -371,17 +391,13 @@
             ("none", RampPolicy::None),
         ] {
             let results = over_seeds(size.seeds, |seed| {
-                let day = loaded_day(&shape, 0.5, size.load_requests, seed);
+                let day = loaded_day(&shape, load, size.load_requests, seed);
                 let length = day.requests.last().map_or(0.0, |last| last.at_s);
-                let domain = day.domains[0].clone();
                 let settings = DaySettings {
                     router: endpoint_router(EndpointPolicy::default()),
                     rating_share: 0.0,
                     ramp,
-                    events: vec![
-                        (length * 0.3, DayEvent::Drain(domain.clone())),
-                        (length * 0.6, DayEvent::Return(domain)),
-                    ],
+                    events: events(&day, length),
                     ..DaySettings::default()
                 };
                 day::run(&day, &settings, seed)
@@ -390,7 +406,7 @@
                 shape.name.to_owned(),
                 name.to_owned(),
                 count(&results, |r| r.arm.is_none()).text(0),
-                count(&results, |r| r.arm.is_some() && r.first_ms > 2_000.0).text(0),
+                count(&results, |r| r.arm.is_some() && r.first_ms > late.1).text(0),
                 SeedSpread::of(results.iter().map(|r| r.over_cold as f64)).text(0),
             ]);
         }
@@ -406,48 +422,6 @@
     )
 }
 
-/// Every endpoint turns cold at once.
-pub fn all_cold(size: ScenarioSize) -> FigureTable {
-    let mut table = FigureTable::new(
-        "Every endpoint restarts cold at once, at 40% load",
-        &[
-            "user",
-            "ramp",
-            "refused",
-            "answered late (over 20 s)",
-            "starts above what a cold endpoint bears",
-        ],
-    );
-    for shape in [kitamiya(), piso_vivo()] {
-        for (name, ramp) in [
-            ("on evidence", RampPolicy::Evidence),
-            ("after 30 s", RampPolicy::TimeOnly(30)),
-            ("none", RampPolicy::None),
-        ] {
-            let results = over_seeds(size.seeds, |seed| {
-                let day = loaded_day(&shape, 0.4, size.load_requests, seed);
-                let length = day.requests.last().map_or(0.0, |last| last.at_s);
-                let settings = DaySettings {
-                    router: endpoint_router(EndpointPolicy::default()),
-                    rating_share: 0.0,
-                    ramp,
-                    events: vec![(length * 0.3, DayEvent::AllCold)],
-                    ..DaySettings::default()
-                };
-                day::run(&day, &settings, seed)
-            });
-            table.row(vec![
-                shape.name.to_owned(),
-                name.to_owned(),
-                count(&results, |r| r.arm.is_none()).text(0),
-                count(&results, |r| r.arm.is_some() && r.first_ms > 20_000.0).text(0),
-                SeedSpread::of(results.iter().map(|r| r.over_cold as f64)).text(0),
-            ]);
-        }
-    }
-    table
-}
-
 /// Goodput under overload, and what is left of it afterwards.
 pub fn overload(size: ScenarioSize) -> FigureTable {
     let mut table = FigureTable::new(
--- a/crates/bench/src/workload.rs
+++ b/crates/bench/src/workload.rs
@@ -24,6 +24,25 @@
     pub ease: f64,
 }
 
+impl KindShape {
+    /// A kind with its share, median tokens and ease.
+    fn new(
+        name: &'static str,
+        share: f64,
+        input_tokens: f64,
+        output_tokens: f64,
+        ease: f64,
+    ) -> Self {
+        Self {
+            name,
+            share,
+            input_tokens,
+            output_tokens,
+            ease,
+        }
+    }
+}
+
 /// Shape of one user's day.
 #[derive(Clone, Debug, PartialEq)]
 pub struct UserShape {
@@ -43,20 +62,13 @@
 
 /// Chain Care: many quick questions, long diagnoses, ten workers.
 pub fn kitamiya() -> UserShape {
-    let kind = |name, share, input_tokens, output_tokens, ease| KindShape {
-        name,
-        share,
-        input_tokens,
-        output_tokens,
-        ease,
-    };
     UserShape {
         name: "Kitamiya",
         plan: "examples/kitamiya",
         kinds: vec![
-            kind("diagnosis", 0.2, 3_000.0, 400.0, -0.01),
-            kind("careplan", 0.2, 800.0, 300.0, 0.0),
-            kind("quick", 0.6, 150.0, 80.0, 0.06),
+            KindShape::new("diagnosis", 0.2, 3_000.0, 400.0, -0.01),
+            KindShape::new("careplan", 0.2, 800.0, 300.0, 0.0),
+            KindShape::new("quick", 0.6, 150.0, 80.0, 0.06),
         ],
         endpoints: 10,
         entries: 7,
@@ -66,20 +78,13 @@
 
 /// Heritage floors: long dossiers, estimates, quick crack classifications, twenty workers.
 pub fn piso_vivo() -> UserShape {
-    let kind = |name, share, input_tokens, output_tokens, ease| KindShape {
-        name,
-        share,
-        input_tokens,
-        output_tokens,
-        ease,
-    };
     UserShape {
         name: "Piso Vivo",
         plan: "examples/piso-vivo",
         kinds: vec![
-            kind("dossier", 0.15, 4_000.0, 1_200.0, 0.0),
-            kind("estimate", 0.35, 1_000.0, 350.0, 0.0),
-            kind("crack", 0.5, 300.0, 60.0, 0.06),
+            KindShape::new("dossier", 0.15, 4_000.0, 1_200.0, 0.0),
+            KindShape::new("estimate", 0.35, 1_000.0, 350.0, 0.0),
+            KindShape::new("crack", 0.5, 300.0, 60.0, 0.06),
         ],
         endpoints: 20,
         entries: 8,
--- a/crates/core/src/state/evidence.rs
+++ b/crates/core/src/state/evidence.rs
@@ -81,6 +81,7 @@
     pub fn get(&self, version: &VersionId, kind: &KindId) -> Option<&VersionEvidence> {
         self.versions.get(version)?.get(kind)
     }
+
     /// Whether evidence against `version` has gathered that does not suffice yet.
     pub fn is_suspect(&self, version: &VersionId, settings: &EvidenceSettings) -> bool {
         let mut kinds = self.versions.get(version).into_iter().flatten();
--- a/crates/entry/src/chat.rs
+++ b/crates/entry/src/chat.rs
@@ -359,10 +359,8 @@
         is_delivered: bool,
     ) -> Result<StepAnswer, StepFault> {
         let pool = PoolKey::Version(version.clone());
-        let blocks = {
-            let router = self.context.router();
-            block_hashes(self.request.prompt.as_bytes(), router.prefixes.settings())
-        };
+        let prefix = self.context.router().prefixes.settings().clone();
+        let blocks = block_hashes(self.request.prompt.as_bytes(), &prefix);
         let mut log = AttemptLog::default();
         let mut relay = PieceRelay::default();
         let mut pieces = Vec::new();
@@ -370,7 +368,7 @@
             let ticket = &self.request.ticket;
             let mut attempt = attempt::acquire(&self.context, &pool, ticket, &blocks, &mut log)
                 .await
-                .map_err(|refusal| self.after_start(refusal, &pieces))?;
+                .map_err(|refusal| after_start(refusal, &pieces))?;
             let endpoint = attempt.choice().endpoint.clone();
             let expected = attempt.choice().expected_ms;
             let outcome = self
@@ -412,21 +410,11 @@
                     RefusalCode::EndpointFailed,
                     format!("no endpoint finished the answer: {failure:?}"),
                 );
-                Err(self.after_start(refusal.with_run(ran), pieces))
+                Err(after_start(refusal.with_run(ran), pieces))
             }
         }
     }
 
-    /// A refusal that comes after pieces were sent must not say that nothing ran.
-    #[allow(clippy::unused_self)]
-    fn after_start(&self, refusal: Refusal, pieces: &[Bytes]) -> Refusal {
-        if pieces.is_empty() {
-            refusal
-        } else {
-            refusal.with_run(RunState::Ran)
-        }
-    }
-
     async fn stream_attempt(
         &mut self,
         version: &VersionId,
@@ -563,3 +551,12 @@
         output_tokens: usage.completion_tokens,
     }
 }
+
+/// A refusal that comes after pieces were sent must not say that nothing ran.
+fn after_start(refusal: Refusal, pieces: &[Bytes]) -> Refusal {
+    if pieces.is_empty() {
+        refusal
+    } else {
+        refusal.with_run(RunState::Ran)
+    }
+}
--- a/crates/entry/src/rating.rs
+++ b/crates/entry/src/rating.rs
@@ -87,7 +87,8 @@
     }
 
     /// Offers an answer; it is made only when it is drawn and the rate allows it.
-    ///    /// A wanted answer is always drawn: one that was tried to be rated, or one of a version under
+    ///
+    /// A wanted answer is always drawn: one that was tried to be rated, or one of a version under
     /// suspicion.
     pub fn offer(&self, now: TimePoint, is_wanted: bool, make: impl FnOnce() -> AnswerSample) {
         if self.is_on && self.draws(now, is_wanted) {
