--- a/crates/core/src/consensus/journal.rs
+++ b/crates/core/src/consensus/journal.rs
@@ -23,6 +23,9 @@
     Hard(HardState),
     /// A snapshot that was received; it voids all earlier entries up to its index.
     Snapshot(SnapshotImage),
+    /// The records of one save. They share a frame, so that a torn save leaves no whole frame
+    /// behind a torn one.
+    Batch(Vec<JournalRecord>),
 }
 
 /// What a journal held.
@@ -96,22 +99,18 @@
     out.extend_from_slice(&payload);
 }
 
-/// Frames of one save.
+/// The frame of one save.
 pub fn encode_batch(batch: &SaveBatch) -> Vec<u8> {
+    let snapshot = batch.snapshot.iter().cloned().map(JournalRecord::Snapshot);
+    let entries = batch.entries.iter().cloned().map(JournalRecord::Entry);
+    let hard = batch.hard.into_iter().map(JournalRecord::Hard);
+    let records = snapshot.chain(entries).chain(hard).collect();
     let mut out = Vec::new();
-    if let Some(image) = &batch.snapshot {
-        encode_record(&JournalRecord::Snapshot(image.clone()), &mut out);
-    }
-    for entry in &batch.entries {
-        encode_record(&JournalRecord::Entry(entry.clone()), &mut out);
-    }
-    if let Some(hard) = batch.hard {
-        encode_record(&JournalRecord::Hard(hard), &mut out);
-    }
+    encode_record(&JournalRecord::Batch(records), &mut out);
     out
 }
 
-/// Frames of a fresh journal that holds `snapshot`, `hard` and `entries`.
+/// The frame of a fresh journal that holds `snapshot`, `hard` and `entries`.
 pub fn encode_whole(snapshot: &SnapshotImage, hard: HardState, entries: &[LogEntry]) -> Vec<u8> {
     encode_batch(&SaveBatch {
         snapshot: Some(snapshot.clone()),
@@ -150,6 +149,38 @@
     Ok(content)
 }
 
+/// Reads a journal after a loss of power, which leaves what was written after the last sync
+/// whole, missing or torn. A last frame whose checksum does not match counts as torn too; one
+/// with an intact frame behind it was synced once, and is a fault.
+///
+/// # Errors
+/// [`JournalFault`] when synced content has changed; the replica must not take part then.
+pub fn scan_torn(bytes: &[u8]) -> Result<JournalContent, JournalFault> {
+    let fault = match scan(bytes) {
+        Ok(content) => return Ok(content),
+        Err(fault) => fault,
+    };
+    let (JournalFault::HeaderChecksum { offset } | JournalFault::PayloadChecksum { offset }) =
+        fault
+    else {
+        return Err(fault);
+    };
+    let has_intact_frame = (offset + 1..bytes.len()).any(|start| is_frame(&bytes[start..]));
+    if has_intact_frame {
+        return Err(fault);
+    }
+    let mut content = scan(&bytes[..offset])?;
+    content.torn_bytes = bytes.len() - offset;
+    Ok(content)
+}
+
+fn is_frame(bytes: &[u8]) -> bool {
+    let has_header = bytes.len() >= HEADER_BYTES
+        && crc32fast::hash(&bytes[..4]) == read_u32(bytes, 4)
+        && read_u32(bytes, 0) > 0;
+    has_header && matches!(next_frame(bytes, 0), Ok(FrameScan::Whole(..)))
+}
+
 fn next_frame(bytes: &[u8], offset: usize) -> Result<FrameScan<'_>, JournalFault> {
     let rest = &bytes[offset..];
     // A file that was extended and never written reads as zeros.
@@ -188,6 +219,11 @@
             content.snapshot = image;
         }
         JournalRecord::Entry(entry) => push_entry(content, entry, offset)?,
+        JournalRecord::Batch(records) => {
+            for record in records {
+                replay(content, record, offset)?;
+            }
+        }
     }
     Ok(())
 }
--- a/crates/core/src/consensus/lease.rs
+++ b/crates/core/src/consensus/lease.rs
@@ -6,7 +6,7 @@
 
 impl ReplicaCore {
     /// Whether this replica has heard from a leader within the shortest election timeout.
-    pub(super) fn hears_leader(&self, now: TimePoint) -> bool {
+    pub fn hears_leader(&self, now: TimePoint) -> bool {
         if self.is_leader() {
             return self
                 .quorum_answered_at(now)
--- a/crates/core/src/consensus/members.rs
+++ b/crates/core/src/consensus/members.rs
@@ -121,27 +121,35 @@
 
     /// Makes a learner that has saved everything committed a voter.
     pub(super) fn promote_caught_up(&mut self, now: TimePoint) {
-        if self.check_member_change(now).is_err() {
+        let has_room = self.config.voters.len() < self.settings.max_voters;
+        if !has_room || self.check_member_change(now).is_err() {
             return;
         }
-        let ReplicaRole::Leader(state) = &self.role else {
+        let Some(id) = self.caught_up_learner(now) else {
             return;
         };
-        let ready =
-            self.config
-                .learners
-                .keys()
-                .find(|id| {
-                    state.followers.get(id).is_some_and(|follower| {
-                        follower.matched >= self.commit && follower.matched > 0
-                    }) && self.is_answering(now, **id)
-                })
-                .copied();
-        let Some(id) = ready else { return };
         let mut config = self.config.clone();
         if let Some(address) = config.learners.remove(&id) {
             config.voters.insert(id, address);
             self.append_own(now, EntryBody::Config(config));
         }
     }
+
+    /// A learner that answers and has saved everything committed.
+    pub fn caught_up_learner(&self, now: TimePoint) -> Option<ReplicaId> {
+        let ReplicaRole::Leader(state) = &self.role else {
+            return None;
+        };
+        let has_all = |id: &ReplicaId| {
+            state
+                .followers
+                .get(id)
+                .is_some_and(|follower| follower.matched >= self.commit && follower.matched > 0)
+        };
+        self.config
+            .learners
+            .keys()
+            .find(|id| has_all(id) && self.is_answering(now, **id))
+            .copied()
+    }
 }
--- a/crates/core/src/consensus/replica.rs
+++ b/crates/core/src/consensus/replica.rs
@@ -255,6 +255,11 @@
         self.log.last_index()
     }
 
+    /// The newest snapshot.
+    pub fn snapshot(&self) -> &SnapshotImage {
+        &self.snapshot
+    }
+
     /// Index of the newest snapshot.
     pub fn snapshot_index(&self) -> LogIndex {
         self.snapshot.index
--- a/crates/core/src/consensus/settings.rs
+++ b/crates/core/src/consensus/settings.rs
@@ -18,6 +18,8 @@
     pub batch_entries: usize,
     /// Entries kept behind the newest snapshot for followers that lag.
     pub kept_entries: u64,
+    /// Voters at most; further members stay learners until a voter leaves.
+    pub max_voters: usize,
 }
 
 impl Default for ReplicaSettings {
@@ -29,6 +31,7 @@
             clock_skew: 0.02,
             batch_entries: 512,
             kept_entries: 4_096,
+            max_voters: usize::MAX,
         }
     }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod ledger;
 pub mod pipe;
 pub mod plan;
+pub mod routing;
 pub mod state;
 pub mod time;
--- /dev/null
+++ b/crates/core/src/routing/mod.rs
@@ -0,0 +1,34 @@
+//! Routes, declarations, endpoints and roll-outs: the state that the keepers agree on, and the
+//! decisions that entries take on it for each call.
+
+mod allowance;
+mod declaration;
+mod directory;
+mod health;
+mod ladder;
+mod placement;
+mod rollout;
+mod sessions;
+mod state;
+mod table;
+mod verdict;
+
+pub use allowance::{ColdAllowance, RepeatBudget, RepeatSettings};
+pub use declaration::{
+    CallKind, CallerLimits, DeclarationFinding, ModelRule, RouteDeclaration, RouteRule,
+    ServiceRule, ServiceShare, WorkspaceRule,
+};
+pub use directory::{
+    DirectoryChange, EndpointDirectory, EndpointNotice, EndpointPhase, NoticeOutcome, PoolEndpoint,
+};
+pub use health::{HealthSettings, PoolHealth};
+pub use ladder::{LadderSettings, ModelLadder};
+pub use placement::{EndpointSeat, PlacementSettings, PlacementWish, choose_seat};
+pub use rollout::{RolloutOrder, RolloutStage, RolloutState, RolloutTiming};
+pub use sessions::SessionVersions;
+pub use state::{
+    DeclarationUpdate, RoutingCommand, RoutingOutcome, RoutingRevision, RoutingState,
+    RoutingUpdate, StoredDeclaration,
+};
+pub use table::{KeyVerdict, RouteTable};
+pub use verdict::{ArmCount, ArmKey, VerdictBook, VerdictSettings, VersionVerdict};
--- /dev/null
+++ b/crates/core/src/routing/table.rs
@@ -0,0 +1,80 @@
+//! The declaration in force, arranged for look-up.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use super::declaration::{RouteDeclaration, RouteRule, ServiceRule, WorkspaceRule};
+
+/// What a caller's key says.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum KeyVerdict {
+    /// The route needs no key, or no workspace is declared.
+    NotNeeded,
+    /// The key belongs to a workspace.
+    Holder(Arc<WorkspaceRule>),
+    /// There is no key, or no workspace holds it.
+    Unknown,
+}
+
+/// Routes by host and prefix, workspaces by key, services by name.
+#[derive(Clone, Debug, Default)]
+pub struct RouteTable {
+    /// Number of the declaration.
+    pub number: u64,
+    hosts: HashMap<Arc<str>, HashMap<Arc<str>, Arc<RouteRule>>>,
+    services: HashMap<Arc<str>, Arc<ServiceRule>>,
+    holders: HashMap<Arc<str>, Arc<WorkspaceRule>>,
+    has_workspaces: bool,
+}
+
+impl RouteTable {
+    /// Arranges `declaration`.
+    pub fn new(declaration: &RouteDeclaration) -> Self {
+        let mut table = Self {
+            number: declaration.number,
+            has_workspaces: !declaration.workspaces.is_empty(),
+            ..Self::default()
+        };
+        for rule in &declaration.routes {
+            table
+                .hosts
+                .entry(Arc::clone(&rule.host))
+                .or_default()
+                .insert(Arc::clone(&rule.prefix), Arc::new(rule.clone()));
+        }
+        for rule in &declaration.services {
+            let rule = Arc::new(rule.clone());
+            table.services.insert(Arc::clone(&rule.name), rule);
+        }
+        for rule in &declaration.workspaces {
+            let rule = Arc::new(rule.clone());
+            for key in &rule.keys {
+                table.holders.insert(Arc::clone(key), Arc::clone(&rule));
+            }
+        }
+        table
+    }
+
+    /// The route of `host` with the longest prefix that begins `path`.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<RouteRule>> {
+        let prefixes = self.hosts.get(host)?;
+        let ends = path.rmatch_indices('/').map(|(position, _)| position + 1);
+        ends.into_iter().find_map(|end| prefixes.get(&path[..end]))
+    }
+
+    /// The service called `name`.
+    pub fn service(&self, name: &str) -> Option<&Arc<ServiceRule>> {
+        self.services.get(name)
+    }
+
+    /// Whose `key` this is on `route`.
+    pub fn key_verdict(&self, route: &RouteRule, key: Option<&str>) -> KeyVerdict {
+        if !self.has_workspaces || !route.needs_key {
+            return KeyVerdict::NotNeeded;
+        }
+        key.and_then(|key| self.holders.get(key))
+            .map_or(KeyVerdict::Unknown, |rule| {
+                KeyVerdict::Holder(Arc::clone(rule))
+            })
+    }
+}
--- a/crates/core/src/state/keeper.rs
+++ b/crates/core/src/state/keeper.rs
@@ -14,6 +14,7 @@
     ChangeOutcome, PlanChange, PlanState, PlanView, RolloutPhase, RolloutProgress, RolloutRule,
     SubmittedChange, SubmittedContent,
 };
+use crate::routing::{RoutingCommand, RoutingOutcome, RoutingState};
 use crate::time::TimePoint;
 
 /// Operator name under which the system records its own changes.
@@ -80,6 +81,8 @@
     },
     /// Puts settings of the ledger in force.
     Configure(LedgerSettings),
+    /// A command of the routing state.
+    Routing(Box<RoutingCommand>),
     /// Lets time pass: roll-outs whose step is done move on.
     Tick,
     /// Several commands, applied in order.
@@ -110,6 +113,8 @@
     Bill(BillOutcome),
     /// Answer to [`KeeperCommand::Fence`]; `None` while another holder's fence runs.
     Fence(Option<FenceLease>),
+    /// Answer to [`KeeperCommand::Routing`].
+    Routing(RoutingOutcome),
     /// Answer to commands that always succeed; whether anything changed.
     Done(bool),
     /// Answers to [`KeeperCommand::Batch`].
@@ -129,14 +134,19 @@
     pub evidence: EvidenceBook,
     /// Rights to give orders.
     pub fences: FenceBook,
+    /// Routes, endpoints and roll-outs.
+    pub routing: RoutingState,
     /// Newest stamp: time never goes back here, whatever a new leader's clock says.
     pub clock: TimePoint,
+    /// Commands applied; equal on all replicas.
+    pub changes: u64,
 }
 
 impl KeeperState {
     /// Applies a command.
     pub fn apply(&mut self, stamped: &StampedCommand) -> KeeperOutcome {
         self.clock = self.clock.max(stamped.stamp);
+        self.changes += 1;
         self.run(&stamped.command)
     }
 
@@ -190,6 +200,9 @@
                 self.ledger.configure(settings);
                 KeeperOutcome::Done(true)
             }
+            KeeperCommand::Routing(command) => {
+                KeeperOutcome::Routing(self.routing.apply(self.changes, command))
+            }
             KeeperCommand::Tick => KeeperOutcome::Done(self.advance_rollouts()),
             KeeperCommand::Batch(commands) => {
                 KeeperOutcome::Batch(commands.iter().map(|c| self.run(c)).collect())
--- a/crates/entry/src/chat.rs
+++ b/crates/entry/src/chat.rs
@@ -91,7 +91,7 @@
     let frames = stream::once(async move { first })
         .chain(rest)
         .flat_map(|part| stream::iter(frames_of(part)));
-    let mut response = Response::new(BodyExt::boxed(StreamBody::new(frames)));
+    let mut response = Response::new(BodyExt::boxed_unsync(StreamBody::new(frames)));
     let value = HeaderValue::from_static("text/event-stream");
     response.headers_mut().insert(CONTENT_TYPE, value);
     response
--- /dev/null
+++ b/crates/entry/src/forward/call.rs
@@ -0,0 +1,55 @@
+//! The parts that all filters of the request path share.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use chestnutloft_core::routing::LadderSettings;
+use tokio::sync::watch;
+
+use super::book::EntryBook;
+use super::dialect::EntryDialect;
+use super::links::LinkPool;
+use super::settings::ForwardSettings;
+
+/// Shared parts of the request path.
+pub struct ForwardGate {
+    /// Name of this entry.
+    pub name: Arc<str>,
+    /// How calls are written on the wire.
+    pub dialect: EntryDialect,
+    /// Choice of models.
+    pub ladder: LadderSettings,
+    /// Connections to endpoints.
+    pub links: LinkPool,
+    /// Whether this entry is shutting down.
+    pub leaving: watch::Receiver<bool>,
+    book: Mutex<EntryBook>,
+}
+
+impl ForwardGate {
+    /// The parts for an entry with `settings`.
+    pub fn new(
+        settings: &ForwardSettings,
+        dialect: EntryDialect,
+        leaving: watch::Receiver<bool>,
+    ) -> Self {
+        let book = EntryBook::new(&settings.name, &settings.domain, &settings.limits);
+        Self {
+            name: Arc::from(settings.name.as_str()),
+            dialect,
+            ladder: LadderSettings::default(),
+            links: LinkPool::default(),
+            leaving,
+            book: Mutex::new(book),
+        }
+    }
+
+    /// What this entry knows.
+    pub fn book(&self) -> MutexGuard<'_, EntryBook> {
+        self.book.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether this entry is shutting down.
+    pub fn is_leaving(&self) -> bool {
+        *self.leaving.borrow()
+    }
+}
--- /dev/null
+++ b/crates/entry/src/forward/daemon.rs
@@ -0,0 +1,140 @@
+//! Puts an entry that serves by routes together.
+
+use std::fmt;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+use chestnutloft_wire::auth::cluster_proof;
+use chestnutloft_wire::clock;
+use chestnutloft_wire::rpc_client::PeerCaller;
+
+use super::call::ForwardGate;
+use super::dialect::EntryDialect;
+use super::door::{OpenCount, serve_callers, serve_readiness};
+use super::settings::ForwardSettings;
+use super::watch::watch_keepers;
+
+/// Time between two sweeps of idle connections.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+/// Share of the time for shutting down during which kept connections stay open: the balancer
+/// needs it to send new connections elsewhere.
+const KEEP_SHARE: f64 = 0.3;
+/// Share after which no new connection is accepted.
+const ACCEPT_SHARE: f64 = 0.6;
+/// Share after which the process ends even with calls under way.
+const END_SHARE: f64 = 0.96;
+/// Wait between two looks at open connections.
+const OPEN_INTERVAL: Duration = Duration::from_millis(30);
+
+/// Why an entry could not start.
+#[derive(Debug)]
+pub enum StartError {
+    /// An address cannot be listened on, or a thread not be started.
+    Io(&'static str, std::io::Error),
+}
+
+impl fmt::Display for StartError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Io(what, error) => write!(f, "{what}: {error}"),
+        }
+    }
+}
+
+impl std::error::Error for StartError {}
+
+/// A running entry.
+pub struct ForwardDaemon {
+    /// Shared parts of the request path.
+    pub gate: Arc<ForwardGate>,
+    shutdown: Duration,
+    open: OpenCount,
+    leaving: watch::Sender<bool>,
+    draining: watch::Sender<bool>,
+    closed: watch::Sender<bool>,
+}
+
+impl ForwardDaemon {
+    /// Starts an entry that speaks `dialect`.
+    ///
+    /// # Errors
+    /// [`StartError`] when an address is taken.
+    pub async fn start(
+        settings: &ForwardSettings,
+        dialect: EntryDialect,
+    ) -> Result<Self, StartError> {
+        let callers = TcpListener::bind(settings.callers)
+            .await
+            .map_err(|error| StartError::Io("callers", error))?;
+        let readiness = TcpListener::bind(settings.readiness)
+            .await
+            .map_err(|error| StartError::Io("readiness", error))?;
+        let caller = PeerCaller::start(cluster_proof(&settings.cluster_secret))
+            .map_err(|error| StartError::Io("rpc client", error))?;
+        let (leaving, is_leaving) = watch::channel(false);
+        let (draining, is_draining) = watch::channel(false);
+        let (closed, is_closed) = watch::channel(false);
+        let gate = Arc::new(ForwardGate::new(settings, dialect, is_leaving));
+        let open = OpenCount::default();
+        tokio::spawn(serve_readiness(Arc::clone(&gate), readiness));
+        tokio::spawn(serve_callers(
+            Arc::clone(&gate),
+            callers,
+            Arc::clone(&open),
+            is_draining,
+            is_closed,
+        ));
+        let seeds = settings.seed_addresses();
+        tokio::spawn(watch_keepers(Arc::clone(&gate), caller, seeds));
+        tokio::spawn(sweep_links(Arc::clone(&gate)));
+        spdlog::info!(
+            "entry: {} serves callers at {} in {}.",
+            settings.name,
+            settings.callers,
+            settings.domain
+        );
+        Ok(Self {
+            gate,
+            shutdown: settings.limits.shutdown,
+            open,
+            leaving,
+            draining,
+            closed,
+        })
+    }
+
+    /// Ends the entry without cutting a call: it tells the balancer first, then closes
+    /// connections as they go idle, then waits for calls under way.
+    pub async fn shut_down(self) {
+        let began_at = clock::now();
+        let _ = self.leaving.send(true);
+        tokio::time::sleep(self.shutdown.mul_f64(KEEP_SHARE)).await;
+        let _ = self.draining.send(true);
+        loop {
+            let passed = clock::now().since(began_at);
+            if passed >= self.shutdown.mul_f64(ACCEPT_SHARE) {
+                let _ = self.closed.send(true);
+                let is_idle = self.open.load(Ordering::Relaxed) == 0;
+                if is_idle || passed >= self.shutdown.mul_f64(END_SHARE) {
+                    break;
+                }
+            }
+            tokio::time::sleep(OPEN_INTERVAL).await;
+        }
+        spdlog::info!(
+            "entry: ends with {} open connections.",
+            self.open.load(Ordering::Relaxed)
+        );
+    }
+}
+
+async fn sweep_links(gate: Arc<ForwardGate>) {
+    loop {
+        tokio::time::sleep(SWEEP_INTERVAL).await;
+        gate.links.sweep(clock::now());
+    }
+}
--- /dev/null
+++ b/crates/entry/src/forward/exchange.rs
@@ -0,0 +1,225 @@
+//! One attempt: a call sent to one endpoint, up to the head of its answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::body::Incoming;
+use hyper::http::response::Parts;
+
+use chestnutloft_core::routing::CallKind;
+use chestnutloft_core::time::TimePoint;
+use chestnutloft_wire::clock;
+
+use super::book::ChosenEndpoint;
+use super::call::ForwardGate;
+use super::dialect::{AnswerHead, AttemptHead};
+use super::intake::InboundCall;
+use super::links::{EndpointLink, LinkError};
+
+/// Idle time of a connection after which it is not used for a call that may run only once: a
+/// reset on an old connection cannot be told from a lost answer.
+const NON_IDEMPOTENT_IDLE: Duration = Duration::from_millis(1_500);
+/// Idle time of a connection after which it is not used for other calls.
+const IDEMPOTENT_IDLE: Duration = Duration::from_secs(60);
+
+/// Why an attempt brought no answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum AttemptFailure {
+    /// The endpoint could not be reached; the call was not sent.
+    Unreachable(String),
+    /// The endpoint says that it did not run the call.
+    NotRun {
+        /// Whether the address belongs to another endpoint.
+        is_misdirected: bool,
+    },
+    /// The connection broke or the answer is spoiled; the call may have run.
+    Broken(String),
+    /// Nothing came in time; the call may have run.
+    Silent(Duration),
+}
+
+/// Counts an attempt as under way at its endpoint while it lives.
+pub struct AttemptTicket {
+    gate: Arc<ForwardGate>,
+    /// The endpoint.
+    pub endpoint: ChosenEndpoint,
+    /// When the attempt began.
+    pub began_at: TimePoint,
+}
+
+impl AttemptTicket {
+    fn begin(gate: &Arc<ForwardGate>, now: TimePoint, endpoint: ChosenEndpoint) -> Self {
+        gate.book().begin(now, &endpoint.id);
+        Self {
+            gate: Arc::clone(gate),
+            endpoint,
+            began_at: now,
+        }
+    }
+}
+
+impl Drop for AttemptTicket {
+    fn drop(&mut self) {
+        self.gate.book().end(&self.endpoint.id);
+    }
+}
+
+/// An answer whose body is still to come. Dropping it closes the connection, which frees the
+/// endpoint.
+pub struct LiveAnswer {
+    /// Head as the endpoint sent it.
+    pub parts: Parts,
+    /// Head as the dialect read it.
+    pub head: AnswerHead,
+    /// Body.
+    pub body: Incoming,
+    /// The attempt.
+    pub ticket: AttemptTicket,
+    link: EndpointLink,
+}
+
+impl LiveAnswer {
+    /// Keeps the connection for later calls; the body must have arrived whole.
+    pub fn release(self, now: TimePoint) {
+        let Self {
+            head, ticket, link, ..
+        } = self;
+        if !head.is_closing {
+            let address = &ticket.endpoint.address;
+            ticket.gate.links.put(now, address, link);
+        }
+    }
+}
+
+/// Sends `call` to `endpoint`.
+///
+/// # Errors
+/// [`AttemptFailure`] saying whether the call may have run.
+pub async fn send_attempt(
+    gate: &Arc<ForwardGate>,
+    call: &InboundCall,
+    endpoint: ChosenEndpoint,
+    model: Option<&str>,
+    resume_after: Option<u64>,
+    wait: Duration,
+) -> Result<LiveAnswer, AttemptFailure> {
+    let ticket = AttemptTicket::begin(gate, clock::now(), endpoint);
+    let exchange = exchange(gate, call, &ticket.endpoint, model, resume_after);
+    let (response, mut link) = match tokio::time::timeout(wait, exchange).await {
+        Ok(outcome) => outcome?,
+        Err(_) => return Err(AttemptFailure::Silent(wait)),
+    };
+    let (parts, body) = response.into_parts();
+    let head = (gate.dialect.read_answer)(&parts, &call.head.id);
+    link.note_keep_alive(head.keep_alive);
+    let answer = LiveAnswer {
+        parts,
+        head,
+        body,
+        ticket,
+        link,
+    };
+    check_answer(gate, answer)
+}
+
+fn check_answer(gate: &ForwardGate, answer: LiveAnswer) -> Result<LiveAnswer, AttemptFailure> {
+    let head = &answer.head;
+    let id = &answer.ticket.endpoint.id;
+    let now = clock::now();
+    if head.has_not_run || head.is_misdirected {
+        let is_misdirected = head.is_misdirected;
+        let mut book = gate.book();
+        if is_misdirected {
+            book.note_misdirected(id);
+        } else {
+            book.note_full(now, id);
+        }
+        drop(book);
+        return Err(AttemptFailure::NotRun { is_misdirected });
+    }
+    if !head.is_own {
+        return Err(AttemptFailure::Broken(
+            "the answer belongs to another call".to_owned(),
+        ));
+    }
+    if head.is_encoded {
+        return Err(AttemptFailure::Broken("the answer is encoded".to_owned()));
+    }
+    if !head.is_signed {
+        let status = answer.parts.status;
+        return Err(AttemptFailure::Broken(format!(
+            "an answer with status {status} has no signature"
+        )));
+    }
+    if let Some(load) = head.load {
+        gate.book().note_load(now, id, load);
+    }
+    Ok(answer)
+}
+
+async fn exchange(
+    gate: &ForwardGate,
+    call: &InboundCall,
+    endpoint: &ChosenEndpoint,
+    model: Option<&str>,
+    resume_after: Option<u64>,
+) -> Result<(hyper::Response<Incoming>, EndpointLink), AttemptFailure> {
+    let longest_idle = match call.route.kind {
+        CallKind::NonIdempotent
+        | CallKind::Stream {
+            is_resumable: false,
+        } => NON_IDEMPOTENT_IDLE,
+        _ => IDEMPOTENT_IDLE,
+    };
+    loop {
+        let now = clock::now();
+        let kept = gate.links.take(now, &endpoint.address, longest_idle);
+        let is_fresh = kept.is_none();
+        let mut link = match kept {
+            Some(link) => link,
+            None => EndpointLink::open(&endpoint.address)
+                .await
+                .map_err(unsent)?,
+        };
+        let request = build_request(gate, call, endpoint, model, resume_after);
+        match link.send(request).await {
+            Ok(response) => return Ok((response, link)),
+            // A kept connection that the endpoint has closed meanwhile.
+            Err(LinkError::Closed) if !is_fresh => {}
+            Err(error) => return Err(unsent(error)),
+        }
+    }
+}
+
+fn unsent(error: LinkError) -> AttemptFailure {
+    match error {
+        LinkError::Unreachable(reason) => AttemptFailure::Unreachable(reason),
+        LinkError::Closed => AttemptFailure::Unreachable("closed at once".to_owned()),
+        LinkError::Broken(reason) => AttemptFailure::Broken(reason),
+    }
+}
+
+fn build_request(
+    gate: &ForwardGate,
+    call: &InboundCall,
+    endpoint: &ChosenEndpoint,
+    model: Option<&str>,
+    resume_after: Option<u64>,
+) -> Request<Full<Bytes>> {
+    let head = AttemptHead {
+        endpoint: &endpoint.id,
+        workspace: call.workspace.as_ref().map(|rule| &*rule.name),
+        model,
+        left: call.left(clock::now()),
+        resume_after,
+    };
+    let mut request = Request::new(Full::new(call.body.clone()));
+    *request.method_mut() = call.parts.method.clone();
+    *request.uri_mut() = call.parts.uri.clone();
+    *request.headers_mut() = call.parts.headers.clone();
+    (gate.dialect.write_attempt)(request.headers_mut(), &head);
+    request
+}
--- /dev/null
+++ b/crates/entry/src/forward/relay.rs
@@ -0,0 +1,252 @@
+//! Passes a stream on, event by event, and goes on at another endpoint where one breaks off.
+
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use futures_util::stream;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::Response;
+use hyper::body::Frame;
+
+use chestnutloft_core::routing::CallKind;
+use chestnutloft_wire::clock;
+use chestnutloft_wire::http::{AnyBody, BodyError};
+
+use crate::sse::EventSplitter;
+
+use super::exchange::{AttemptFailure, LiveAnswer};
+use super::pipeline::CallRun;
+
+/// Share of the longest pause allowed after which a silent stream goes on elsewhere.
+const PAUSE_SHARE: f64 = 0.8;
+/// Longest pause where the route names none.
+const DEFAULT_PAUSE: Duration = Duration::from_secs(2);
+
+/// A stream under way.
+pub struct StreamRelay {
+    run: CallRun,
+    answer: Option<LiveAnswer>,
+    splitter: EventSplitter,
+    last_id: Option<u64>,
+    first: Option<Bytes>,
+    events: u64,
+    is_over: bool,
+}
+
+/// What came of waiting for more of a stream.
+enum StreamStep {
+    Events(Bytes),
+    End,
+    Cut(AttemptFailure),
+}
+
+impl StreamRelay {
+    /// Waits for the first event of `answer`. Until it has come, the caller has received nothing
+    /// and the call can be run anew.
+    ///
+    /// # Errors
+    /// The run, where the stream broke before its first event.
+    pub async fn begin(
+        run: CallRun,
+        answer: LiveAnswer,
+    ) -> Result<Response<AnyBody>, Box<CallRun>> {
+        let last_id = run.call.head.resume_after;
+        let mut relay = Self {
+            run,
+            answer: Some(answer),
+            splitter: EventSplitter::default(),
+            last_id,
+            first: None,
+            events: 0,
+            is_over: false,
+        };
+        match relay.step(relay.first_wait()).await {
+            StreamStep::Events(events) => relay.first = Some(events),
+            StreamStep::End => relay.first = Some(Bytes::new()),
+            StreamStep::Cut(failure) => {
+                relay.drop_answer(&failure);
+                relay.run.note_cut(&failure);
+                return Err(Box::new(relay.run));
+            }
+        }
+        Ok(relay.into_response())
+    }
+
+    fn first_wait(&self) -> Duration {
+        self.run.answer_wait(clock::now())
+    }
+
+    fn into_response(mut self) -> Response<AnyBody> {
+        let now = clock::now();
+        let mut head = Response::new(());
+        if let Some(answer) = &self.answer {
+            self.run.note_good_answer(now, answer);
+            self.run.log_answer(now, answer, 0);
+            *head.status_mut() = answer.parts.status;
+            *head.headers_mut() = answer.parts.headers.clone();
+        }
+        (self.run.gate.dialect.clean_answer)(head.headers_mut());
+        if self.answer.is_none() {
+            self.is_over = true;
+        }
+        let body = stream::unfold(self, |mut relay| async move {
+            let frame = relay.next_frame().await?;
+            Some((frame, relay))
+        });
+        let (parts, ()) = head.into_parts();
+        Response::from_parts(parts, BodyExt::boxed_unsync(StreamBody::new(body)))
+    }
+
+    /// The next bytes for the caller; `None` where the stream has ended as it should.
+    async fn next_frame(&mut self) -> Option<Result<Frame<Bytes>, BodyError>> {
+        if let Some(first) = self.first.take() {
+            return Some(Ok(Frame::data(first)));
+        }
+        loop {
+            if self.is_over {
+                return None;
+            }
+            match self.step(self.pause()).await {
+                StreamStep::Events(events) => return Some(Ok(Frame::data(events))),
+                StreamStep::End => self.is_over = true,
+                StreamStep::Cut(failure) => {
+                    self.drop_answer(&failure);
+                    if let Err(problem) = self.resume().await {
+                        self.is_over = true;
+                        spdlog::warn!(
+                            "call {}: the stream is broken off after {} events: {problem}.",
+                            self.run.call.head.id,
+                            self.events
+                        );
+                        return Some(Err(problem.into()));
+                    }
+                }
+            }
+        }
+    }
+
+    fn pause(&self) -> Duration {
+        let left = self.run.call.left(clock::now());
+        let pause = self.run.call.route.gap_aim_ms.map(Duration::from_millis);
+        let pause = pause.unwrap_or(DEFAULT_PAUSE).mul_f64(PAUSE_SHARE);
+        if self.can_resume() {
+            left.min(pause)
+        } else {
+            left
+        }
+    }
+
+    fn can_resume(&self) -> bool {
+        self.run.call.route.kind == (CallKind::Stream { is_resumable: true })
+            && self.run.has_attempts()
+    }
+
+    async fn step(&mut self, wait: Duration) -> StreamStep {
+        match tokio::time::timeout(wait, self.read()).await {
+            Ok(step) => step,
+            Err(_) => StreamStep::Cut(AttemptFailure::Silent(wait)),
+        }
+    }
+
+    async fn read(&mut self) -> StreamStep {
+        loop {
+            let events = self.whole_events();
+            if !events.is_empty() {
+                return StreamStep::Events(events);
+            }
+            let Some(answer) = &mut self.answer else {
+                return StreamStep::End;
+            };
+            match answer.body.frame().await {
+                Some(Ok(frame)) => {
+                    let Some(data) = frame.data_ref() else {
+                        continue;
+                    };
+                    if self.splitter.push(data).is_err() {
+                        let reason = "an event is too large".to_owned();
+                        return StreamStep::Cut(AttemptFailure::Broken(reason));
+                    }
+                }
+                Some(Err(error)) => {
+                    return StreamStep::Cut(AttemptFailure::Broken(error.to_string()));
+                }
+                None => return self.finish(),
+            }
+        }
+    }
+
+    fn finish(&mut self) -> StreamStep {
+        if self.splitter.has_rest() {
+            let reason = "the stream ends within an event".to_owned();
+            return StreamStep::Cut(AttemptFailure::Broken(reason));
+        }
+        if let Some(answer) = self.answer.take() {
+            answer.release(clock::now());
+        }
+        StreamStep::End
+    }
+
+    /// All whole events that have arrived. Events that the caller has already are left out.
+    fn whole_events(&mut self) -> Bytes {
+        let mut events = BytesMut::new();
+        while let Some(event) = self.splitter.next_event() {
+            if let (Some(id), Some(last)) = (event.id, self.last_id)
+                && id <= last
+            {
+                continue;
+            }
+            self.last_id = event.id.or(self.last_id);
+            self.events += 1;
+            events.extend_from_slice(&event.raw);
+        }
+        events.freeze()
+    }
+
+    fn drop_answer(&mut self, failure: &AttemptFailure) {
+        if let Some(answer) = self.answer.take() {
+            spdlog::warn!(
+                "call {}: {} broke off after {} events: {failure:?}.",
+                self.run.call.head.id,
+                answer.ticket.endpoint.id,
+                self.events
+            );
+            self.run
+                .note_bad_answer(clock::now(), &answer.ticket.endpoint);
+        }
+        self.splitter = EventSplitter::default();
+    }
+
+    /// Goes on at another endpoint after the last event that the caller has.
+    async fn resume(&mut self) -> Result<(), String> {
+        loop {
+            if !self.can_resume() {
+                return Err("it cannot be resumed".to_owned());
+            }
+            if !self.run.may_repeat() {
+                return Err("no more attempts are allowed".to_owned());
+            }
+            let endpoint = self
+                .run
+                .place()
+                .await
+                .map_err(|refusal| refusal.to_string())?;
+            match self.run.attempt(endpoint, self.last_id).await {
+                Ok(answer) if answer.parts.status.is_success() => {
+                    spdlog::info!(
+                        "call {}: goes on at {} after event {:?}.",
+                        self.run.call.head.id,
+                        answer.ticket.endpoint.id,
+                        self.last_id
+                    );
+                    self.answer = Some(answer);
+                    return Ok(());
+                }
+                Ok(answer) => {
+                    let endpoint = answer.ticket.endpoint.clone();
+                    self.run.note_bad_answer(clock::now(), &endpoint);
+                }
+                Err(failure) => self.run.note_cut(&failure),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/forward/watch.rs
@@ -0,0 +1,125 @@
+//! Keeps the book current: waits at the leading keeper for news.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use chestnutloft_core::time::TimePoint;
+use chestnutloft_wire::clock;
+use chestnutloft_wire::message::{PeerLists, WatchCall, WatchReply};
+use chestnutloft_wire::rpc::Method;
+use chestnutloft_wire::rpc_client::PeerCaller;
+
+use super::call::ForwardGate;
+
+/// Time for one call: the keeper's longest wait and a second for the way.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Wait after a call without an answer.
+const RETRY_WAIT: Duration = Duration::from_millis(60);
+
+struct KeeperWatch {
+    gate: Arc<ForwardGate>,
+    caller: PeerCaller,
+    seeds: Vec<String>,
+    peers: PeerLists,
+    target: Option<String>,
+    turn: usize,
+    is_in_touch: bool,
+}
+
+/// Watches until the process ends. `seeds` are the RPC addresses of some keepers.
+pub async fn watch_keepers(gate: Arc<ForwardGate>, caller: PeerCaller, seeds: Vec<String>) {
+    let mut watch = KeeperWatch {
+        gate,
+        caller,
+        seeds,
+        peers: PeerLists::default(),
+        target: None,
+        turn: 0,
+        is_in_touch: false,
+    };
+    loop {
+        watch.ask_once().await;
+    }
+}
+
+impl KeeperWatch {
+    /// The leader where it is known, else each keeper in turn.
+    fn target(&self) -> String {
+        let known = || {
+            let all: Vec<&String> = self.peers.keepers.iter().chain(&self.seeds).collect();
+            all[self.turn % all.len()].clone()
+        };
+        self.target.clone().unwrap_or_else(known)
+    }
+
+    async fn ask_once(&mut self) {
+        let target = self.target();
+        let asked_at = clock::now();
+        let call = self.call();
+        let reply = self
+            .caller
+            .call::<_, WatchReply>(&target, Method::Watch, &call, CALL_TIMEOUT)
+            .await;
+        let now = clock::now();
+        match reply {
+            Ok(WatchReply::Current { update, peers }) => {
+                self.target = Some(target);
+                self.note_touch(now, true, "");
+                self.take(now, asked_at, update, peers);
+            }
+            Ok(WatchReply::NotLeader(hint)) => {
+                // A hint at the keeper that has just failed to answer helps nobody.
+                self.turn += 1;
+                self.target = hint.filter(|hint| *hint != target);
+                tokio::time::sleep(RETRY_WAIT).await;
+            }
+            Err(error) => {
+                self.turn += 1;
+                self.target = None;
+                self.note_touch(now, false, &error.to_string());
+                tokio::time::sleep(RETRY_WAIT).await;
+            }
+        }
+    }
+
+    fn call(&self) -> WatchCall {
+        let mut book = self.gate.book();
+        WatchCall {
+            entry: Arc::clone(&self.gate.name),
+            known: book.revision(),
+            peers_hash: self.peers.hash(),
+            arms: book.take_arms(),
+        }
+    }
+
+    fn take(
+        &mut self,
+        now: TimePoint,
+        asked_at: TimePoint,
+        update: chestnutloft_core::routing::RoutingUpdate,
+        peers: Option<PeerLists>,
+    ) {
+        let mut book = self.gate.book();
+        book.apply(now, asked_at, update);
+        if let Some(peers) = peers {
+            let mut entries = peers.entries.clone();
+            if !entries.contains(&self.gate.name) {
+                entries.push(Arc::clone(&self.gate.name));
+            }
+            book.entries = entries;
+            drop(book);
+            self.peers = peers;
+        }
+    }
+
+    fn note_touch(&mut self, now: TimePoint, is_in_touch: bool, problem: &str) {
+        if is_in_touch && !self.is_in_touch {
+            spdlog::info!("watch: in touch with the leading keeper.");
+        }
+        if !is_in_touch && self.is_in_touch {
+            let is_current = self.gate.book().is_current(now);
+            spdlog::warn!("watch: out of touch: {problem}; state trusted: {is_current}.");
+        }
+        self.is_in_touch = is_in_touch;
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod engine;
 pub mod exchange;
 pub mod explain;
+pub mod forward;
 pub mod gateway;
 pub mod keepers;
 pub mod metrics;
--- a/crates/entry/src/sse.rs
+++ b/crates/entry/src/sse.rs
@@ -42,6 +42,11 @@
         Ok(())
     }
 
+    /// Whether part of an event has arrived without its end.
+    pub fn has_rest(&self) -> bool {
+        !self.buffer.is_empty()
+    }
+
     /// The next whole event.
     pub fn next_event(&mut self) -> Option<SseEvent> {
         let start = self.scanned.saturating_sub(1);
--- a/crates/keeper/src/actor.rs
+++ b/crates/keeper/src/actor.rs
@@ -10,14 +10,20 @@
     MemberChange, PeerMessage, ProposalError, ReadyBatch, ReplicaCore, ReplicaId, SavedPoint,
 };
 use chestnutloft_core::ledger::LedgerSettings;
+use chestnutloft_core::routing::EndpointNotice;
 use chestnutloft_core::state::{
     EntryBeat, GrantTable, KeeperCommand, LeaseGrant, LiveEntry, live_hash,
 };
 use chestnutloft_core::time::TimePoint;
 use chestnutloft_wire::clock;
-use chestnutloft_wire::message::{BeatReply, ReplicateCall, RunReply};
+use chestnutloft_wire::message::{
+    BeatReply, JoinCall, JoinReply, ReplicateCall, RunReply, WatchCall, WatchReply,
+};
 use chestnutloft_wire::rpc_client::PeerCaller;
 
+use crate::control::RoutingReply;
+use crate::desk::RoutingDesk;
+use crate::formation::MemberSteward;
 use crate::host::StateHost;
 use crate::outbox::MessageOutbox;
 use crate::settings::KeeperSettings;
@@ -28,6 +34,8 @@
 pub const TICK: Duration = Duration::from_millis(20);
 /// Changes that a status shows.
 const SHOWN_CHANGES: usize = 10;
+/// Wait after a failed save.
+const SAVE_RETRY_WAIT: Duration = Duration::from_millis(400);
 
 /// Messages of the replica's actor.
 pub enum ReplicaMessage {
@@ -49,13 +57,34 @@
     Spend(oneshot::Sender<Option<Vec<SpendRow>>>),
     /// Asks for the plan with its history.
     Plan(oneshot::Sender<Option<Box<chestnutloft_core::plan::PlanState>>>),
+    /// Asks for the routing state.
+    Routing(oneshot::Sender<RoutingReply>),
+    /// An endpoint announces itself.
+    Announce(EndpointNotice, oneshot::Sender<RunReply>),
+    /// An entry waits for news of the routing state.
+    Watch(WatchCall, oneshot::Sender<WatchReply>),
+    /// Another keeper wants to be a member.
+    Join(JoinCall, oneshot::Sender<JoinReply>),
+    /// Asks whether this replica lacks a leader, and whom to ask to join.
+    Membership(oneshot::Sender<MembershipView>),
+    /// A failed save is due to be tried again.
+    Resave(Box<SaveResult>),
+}
+
+/// What a replica knows of its membership.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct MembershipView {
+    /// Whether it is a member that hears a leader, or leads.
+    pub is_settled: bool,
+    /// RPC addresses of the members that it knows.
+    pub members: Vec<String>,
 }
 
 /// What a save has led to.
 pub struct SaveResult {
-    folder: DataFolder,
-    point: SavedPoint,
-    send_after_save: Vec<(ReplicaId, PeerMessage)>,
+    pub(super) folder: DataFolder,
+    pub(super) point: SavedPoint,
+    pub(super) send_after_save: Vec<(ReplicaId, PeerMessage)>,
     error: Option<StorageError>,
 }
 
@@ -74,8 +103,11 @@
 /// State of the actor.
 pub struct ReplicaState {
     settings: KeeperSettings,
-    core: ReplicaCore,
-    host: StateHost,
+    pub(super) desk: RoutingDesk,
+    pub(super) steward: MemberSteward,
+    pub(super) settled_at: TimePoint,
+    pub(super) core: ReplicaCore,
+    pub(super) host: StateHost,
     folder: Option<DataFolder>,
     journal_bytes: u64,
     outbox: MessageOutbox,
@@ -84,6 +116,7 @@
     live_hash: u64,
     was_leader: bool,
     is_tick_due: bool,
+    pub(super) is_routing_due: bool,
 }
 
 /// The actor.
@@ -110,7 +143,7 @@
         state: &mut Self::State,
     ) -> Result<(), ActorProcessingErr> {
         let now = clock::now();
-        state.take(now, message)?;
+        state.take(now, message, &myself)?;
         state.pump(now, &myself);
         Ok(())
     }
@@ -125,6 +158,9 @@
             caller,
         } = arguments;
         Self {
+            desk: RoutingDesk::new(settings.desk.clone()),
+            steward: MemberSteward::default(),
+            settled_at: clock::now(),
             host: StateHost::new(),
             outbox: MessageOutbox::new(core.id(), settings.rpc.to_string(), caller),
             journal_bytes: folder.bytes(),
@@ -134,12 +170,18 @@
             live_hash: 0,
             was_leader: false,
             is_tick_due: false,
+            is_routing_due: false,
             core,
             settings,
         }
     }
 
-    fn take(&mut self, now: TimePoint, message: ReplicaMessage) -> Result<(), ActorProcessingErr> {
+    fn take(
+        &mut self,
+        now: TimePoint,
+        message: ReplicaMessage,
+        myself: &ActorRef<ReplicaMessage>,
+    ) -> Result<(), ActorProcessingErr> {
         match message {
             ReplicaMessage::Tick => self.tick(now),
             ReplicaMessage::Replicate(call) => self.take_messages(now, call),
@@ -147,7 +189,7 @@
             ReplicaMessage::Beat(beat, reply) => {
                 let _ = reply.send(self.beat(now, &beat));
             }
-            ReplicaMessage::Saved(result) => self.after_save(now, *result)?,
+            ReplicaMessage::Saved(result) => self.after_save(now, *result, myself)?,
             ReplicaMessage::Members(change, reply) => {
                 let _ = reply.send(self.core.propose_members(now, &change));
             }
@@ -161,6 +203,18 @@
                 let plan = || Box::new(self.host.state().plan.clone());
                 let _ = reply.send(self.core.is_serving(now).then(plan));
             }
+            ReplicaMessage::Routing(reply) => {
+                let _ = reply.send(self.routing(now));
+            }
+            ReplicaMessage::Announce(notice, reply) => self.announce(now, notice, reply),
+            ReplicaMessage::Watch(call, reply) => self.watch(now, call, reply),
+            ReplicaMessage::Join(call, reply) => {
+                let _ = reply.send(self.join(now, call));
+            }
+            ReplicaMessage::Membership(reply) => {
+                let _ = reply.send(self.membership(now));
+            }
+            ReplicaMessage::Resave(result) => self.resave(myself, *result),
         }
         Ok(())
     }
@@ -168,8 +222,10 @@
     fn tick(&mut self, now: TimePoint) {
         self.core.tick(now);
         if !self.core.is_serving(now) {
+            self.desk.stop(self.leader_address().as_deref());
             return;
         }
+        self.tick_routing(now);
         let lapsed = self.grants.take_lapsed(now, &self.settings.lease);
         for gone in lapsed {
             spdlog::warn!("lease: entry {} has lapsed.", gone.entry);
@@ -213,7 +269,7 @@
         self.live_hash = live_hash(&self.live);
     }
 
-    fn propose(&mut self, now: TimePoint, command: KeeperCommand) {
+    pub(super) fn propose(&mut self, now: TimePoint, command: KeeperCommand) {
         let bytes = StateHost::encode_commands(vec![command], clock::wall_now());
         if let Err(error) = self.core.propose(now, &bytes) {
             spdlog::debug!("replica: own command was not taken: {error}.");
@@ -231,13 +287,13 @@
         }
     }
 
-    fn leader_address(&self) -> Option<String> {
+    pub(super) fn leader_address(&self) -> Option<String> {
         let leader = self.core.leader()?;
         let address = self.outbox.address(self.core.config(), leader)?;
         (leader != self.core.id()).then(|| address.to_owned())
     }
 
-    fn run(
+    pub(super) fn run(
         &mut self,
         now: TimePoint,
         commands: Vec<KeeperCommand>,
@@ -320,7 +376,11 @@
             self.host.apply(entry);
         }
         self.is_tick_due &= ready.committed.is_empty();
+        self.is_routing_due &= ready.committed.is_empty();
         self.note_role(now);
+        if !ready.committed.is_empty() && self.core.is_serving(now) {
+            self.desk.answer_watches(now, &self.host.state().routing);
+        }
     }
 
     fn note_role(&mut self, now: TimePoint) {
@@ -331,16 +391,32 @@
         self.was_leader = is_leader;
         if is_leader {
             spdlog::info!("replica: leads term {}.", self.core.term());
+            self.is_routing_due = false;
             self.grants.start(now);
             self.live.clear();
+            self.desk.start(now);
         } else {
             spdlog::info!("replica: follows in term {}.", self.core.term());
             self.host.abandon();
+            self.desk.stop(self.leader_address().as_deref());
         }
     }
 
-    fn after_save(&mut self, now: TimePoint, result: SaveResult) -> Result<(), ActorProcessingErr> {
-        if let Some(error) = result.error {
+    fn after_save(
+        &mut self,
+        now: TimePoint,
+        mut result: SaveResult,
+        myself: &ActorRef<ReplicaMessage>,
+    ) -> Result<(), ActorProcessingErr> {
+        if let Some(error) = result.error.take() {
+            if self.settings.formation.is_some() {
+                spdlog::error!("storage: {error}. Tries again with a new journal.");
+                let myself = myself.clone();
+                myself.send_after(SAVE_RETRY_WAIT, move || {
+                    ReplicaMessage::Resave(Box::new(result))
+                });
+                return Ok(());
+            }
             spdlog::critical!("storage: {error}. This replica stops.");
             return Err(Box::new(error));
         }
@@ -353,7 +429,9 @@
 
     fn compact_if_due(&mut self, myself: &ActorRef<ReplicaMessage>) {
         let applied = self.core.applied();
-        if applied < self.core.snapshot_index() + self.settings.snapshot_entries {
+        let has_many = applied >= self.core.snapshot_index() + self.settings.snapshot_entries;
+        let has_grown = self.journal_bytes >= self.settings.snapshot_bytes;
+        if !has_many && !(has_grown && applied > self.core.snapshot_index()) {
             return;
         }
         let data: Arc<[u8]> = self.host.encode();
@@ -448,7 +526,7 @@
     }
 }
 
-fn save_in_background(
+pub(super) fn save_in_background(
     myself: &ActorRef<ReplicaMessage>,
     mut folder: DataFolder,
     point: SavedPoint,
--- a/crates/keeper/src/daemon.rs
+++ b/crates/keeper/src/daemon.rs
@@ -1,5 +1,6 @@
 //! Puts a keeper together.
 
+use std::collections::HashSet;
 use std::fmt;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -14,12 +15,16 @@
 use chestnutloft_core::consensus::{MemberConfig, ReplicaCore, ReplicaId};
 use chestnutloft_core::time::TimePoint;
 use chestnutloft_wire::auth::cluster_proof;
-use chestnutloft_wire::message::{BeatReply, ReplicateCall, RunCall, RunReply};
+use chestnutloft_wire::message::{
+    BeatReply, JoinCall, JoinReply, ReplicateCall, RunCall, RunReply, WatchReply,
+};
 use chestnutloft_wire::rpc::{self, CallAnswer, CallHandler, Method, Status};
 use chestnutloft_wire::rpc_client::PeerCaller;
 use chestnutloft_wire::{clock, http};
 
-use crate::actor::{ReplicaActor, ReplicaArguments, ReplicaMessage};
+use crate::actor::{MembershipView, ReplicaActor, ReplicaArguments, ReplicaMessage};
+use crate::control::{ControlDesk, ControlDialect};
+use crate::formation::{self, FormationSettings, JOIN_INTERVAL};
 use crate::metrics::KeeperMetrics;
 use crate::operator::OperatorDoor;
 use crate::settings::KeeperSettings;
@@ -27,6 +32,8 @@
 
 /// Time that open operator requests get at shutdown.
 const SHUTDOWN_PATIENCE: Duration = Duration::from_secs(2);
+/// Time for one call that asks to join.
+const JOIN_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Why a keeper could not start.
 #[derive(Debug)]
@@ -87,18 +94,43 @@
     /// # Errors
     /// [`StartError`] when the folder cannot be trusted or an address is taken.
     pub async fn start(settings: KeeperSettings) -> Result<Self, StartError> {
-        let listener = std::net::TcpListener::bind(settings.rpc)
-            .map_err(|error| StartError::Io("rpc".to_owned(), error))?;
+        let listener = bind_rpc(&settings)?;
         Self::start_on(settings, listener).await
     }
 
+    /// Starts a keeper that founds or joins its cluster by itself, and that serves operators and
+    /// endpoints in `dialect`.
+    ///
+    /// # Errors
+    /// [`StartError`] when the folder cannot be trusted or an address is taken.
+    pub async fn start_joining(
+        mut settings: KeeperSettings,
+        dialect: ControlDialect,
+    ) -> Result<Self, StartError> {
+        let listener = bind_rpc(&settings)?;
+        if let Some(formation) = &settings.formation {
+            let replica =
+                formation::prepare_folder(&settings, formation).map_err(StartError::Storage)?;
+            settings.replica = replica.0;
+        }
+        Self::start_serving(settings, listener, Some(dialect)).await
+    }
+
     /// Starts a keeper that serves RPC on `listener`, whatever `settings.rpc` says.
     ///
     /// # Errors
     /// [`StartError`] when the folder cannot be trusted or an address is taken.
     pub async fn start_on(
+        settings: KeeperSettings,
+        listener: std::net::TcpListener,
+    ) -> Result<Self, StartError> {
+        Self::start_serving(settings, listener, None).await
+    }
+
+    async fn start_serving(
         mut settings: KeeperSettings,
         listener: std::net::TcpListener,
+        dialect: Option<ControlDialect>,
     ) -> Result<Self, StartError> {
         let io_at = |what: &str| {
             let what = what.to_owned();
@@ -124,7 +156,7 @@
             settings: settings.clone(),
             core,
             folder,
-            caller,
+            caller: caller.clone(),
         };
         let (replica, actor) = Actor::spawn(None, ReplicaActor, arguments)
             .await
@@ -136,13 +168,35 @@
             .await
             .map_err(io_at("http"))?;
         let http = listener.local_addr().map_err(io_at("http"))?;
-        let door = OperatorDoor {
-            replica: replica.clone(),
-            key_hashes: settings.operator_key_hashes.clone().into(),
-            metrics: KeeperMetrics::default(),
+        let door = match dialect {
+            Some(dialect) => {
+                let desk = ControlDesk {
+                    replica: replica.clone(),
+                    address: http,
+                    dialect,
+                };
+                let service = move |request| desk.clone().answer(request);
+                tokio::spawn(http::serve(listener, stopped, SHUTDOWN_PATIENCE, service))
+            }
+            None => {
+                let door = OperatorDoor {
+                    replica: replica.clone(),
+                    key_hashes: settings.operator_key_hashes.clone().into(),
+                    metrics: KeeperMetrics::default(),
+                };
+                let service = move |request| door.clone().answer(request);
+                tokio::spawn(http::serve(listener, stopped, SHUTDOWN_PATIENCE, service))
+            }
         };
-        let service = move |request| door.clone().answer(request);
-        let door = tokio::spawn(http::serve(listener, stopped, SHUTDOWN_PATIENCE, service));
+        if let Some(formation) = settings.formation.clone() {
+            tokio::spawn(ask_to_join(
+                replica.clone(),
+                caller,
+                ReplicaId(settings.replica),
+                settings.rpc,
+                formation,
+            ));
+        }
         spdlog::info!(
             "keeper: replica {} serves RPC at {rpc}, operators at {http}.",
             settings.replica
@@ -183,6 +237,54 @@
     }
 }
 
+fn bind_rpc(settings: &KeeperSettings) -> Result<std::net::TcpListener, StartError> {
+    std::net::TcpListener::bind(settings.rpc)
+        .map_err(|error| StartError::Io("rpc".to_owned(), error))
+}
+
+/// Asks the keepers that are known to make this one a member, as long as it is none.
+async fn ask_to_join(
+    replica: ActorRef<ReplicaMessage>,
+    caller: PeerCaller,
+    id: ReplicaId,
+    address: SocketAddr,
+    formation: FormationSettings,
+) {
+    let call = JoinCall {
+        replica: id,
+        address: address.to_string(),
+    };
+    let seeds = formation.seed_addresses(address.port());
+    let mut hints: Vec<String> = Vec::new();
+    loop {
+        tokio::time::sleep(JOIN_INTERVAL).await;
+        let view = ask(
+            &replica,
+            MembershipView::default(),
+            ReplicaMessage::Membership,
+        )
+        .await;
+        if view.is_settled {
+            continue;
+        }
+        let mut asked: Vec<String> = std::mem::take(&mut hints);
+        asked.extend(seeds.iter().map(ToString::to_string));
+        asked.extend(view.members);
+        let mut known = HashSet::new();
+        asked.retain(|other| *other != call.address && known.insert(other.clone()));
+        let calls = asked
+            .iter()
+            .map(|other| caller.call::<_, JoinReply>(other, Method::Join, &call, JOIN_TIMEOUT));
+        for reply in futures_util::future::join_all(calls).await {
+            match reply {
+                Ok(JoinReply::Noted) => spdlog::debug!("members: asked to join."),
+                Ok(JoinReply::Ask(others)) => hints.extend(others),
+                Err(error) => spdlog::debug!("members: not asked: {error}."),
+            }
+        }
+    }
+}
+
 /// A seed for election timeouts that differs between replicas and between lives.
 fn seed(replica: ReplicaId, now: TimePoint) -> u64 {
     let wall = clock::wall_now().as_micros();
@@ -219,6 +321,14 @@
                 let make = |reply| ReplicaMessage::Beat(beat, reply);
                 ask(&replica, BeatReply::NotLeader(None), make).await
             })),
+            Method::Watch => Box::pin(rpc::answer(payload, move |call| async move {
+                let make = |reply| ReplicaMessage::Watch(call, reply);
+                ask(&replica, WatchReply::NotLeader(None), make).await
+            })),
+            Method::Join => Box::pin(rpc::answer(payload, move |call| async move {
+                let make = |reply| ReplicaMessage::Join(call, reply);
+                ask(&replica, JoinReply::Ask(Vec::new()), make).await
+            })),
             Method::Exchange | Method::Credit => Box::pin(async { (Status::NotHere, Vec::new()) }),
         };
         answer
--- a/crates/keeper/src/settings.rs
+++ b/crates/keeper/src/settings.rs
@@ -13,6 +13,9 @@
 use chestnutloft_core::state::LeaseSettings;
 use chestnutloft_wire::settings::SettingsFinding;
 
+use crate::desk::DeskSettings;
+use crate::formation::FormationSettings;
+
 /// Settings of a keeper.
 #[serde_as]
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -28,6 +31,12 @@
     pub data: PathBuf,
     /// First voters with their RPC addresses; read by `init` only.
     pub first_voters: BTreeMap<u64, SocketAddr>,
+    /// How the cluster forms and repairs itself; without it, members are changed by hand.
+    pub formation: Option<FormationSettings>,
+    /// Entries and endpoints that watch the routing state.
+    pub desk: DeskSettings,
+    /// Bytes of the journal after which a snapshot is taken.
+    pub snapshot_bytes: u64,
     /// Secret that all processes of the cluster share.
     pub cluster_secret: String,
     /// SHA-256 of operators' keys in hexadecimal; empty lets everyone in.
@@ -57,6 +66,9 @@
             http: SocketAddr::from(([127, 0, 0, 1], 7601)),
             data: PathBuf::from("data/keeper"),
             first_voters: BTreeMap::new(),
+            formation: None,
+            desk: DeskSettings::default(),
+            snapshot_bytes: 16 * 1024 * 1024,
             cluster_secret: String::new(),
             operator_key_hashes: Vec::new(),
             log_level: "info".to_owned(),
@@ -121,6 +133,10 @@
         ReplicaSettings {
             election_min: self.election_min,
             election_max: self.election_max,
+            max_voters: self
+                .formation
+                .as_ref()
+                .map_or(usize::MAX, FormationSettings::max_voters),
             ..ReplicaSettings::default()
         }
     }
--- a/crates/keeper/src/storage.rs
+++ b/crates/keeper/src/storage.rs
@@ -152,6 +152,34 @@
         Ok(())
     }
 
+    /// Number of the replica that `folder` belongs to; `None` where it is not formatted.
+    ///
+    /// # Errors
+    /// [`StorageError`] when the identity cannot be read.
+    pub fn identity(folder: &Path) -> Result<Option<ReplicaId>, StorageError> {
+        if !Self::is_formatted(folder) {
+            return Ok(None);
+        }
+        read_identity(folder).map(Some)
+    }
+
+    /// Makes the folder, and removes what an interrupted formatting left behind: without an
+    /// identity, nothing in the folder was ever acknowledged.
+    ///
+    /// # Errors
+    /// [`StorageError`] when the folder cannot be made or changed.
+    pub fn clear_unformatted(folder: &Path) -> Result<(), StorageError> {
+        std::fs::create_dir_all(folder).map_err(io_at(folder))?;
+        if Self::is_formatted(folder) {
+            return Ok(());
+        }
+        for number in journal_numbers(folder)? {
+            let path = journal_path(folder, number);
+            std::fs::remove_file(&path).map_err(io_at(&path))?;
+        }
+        Ok(())
+    }
+
     /// Whether `folder` is formatted.
     pub fn is_formatted(folder: &Path) -> bool {
         folder.join(IDENTITY_FILE).exists()
@@ -179,8 +207,8 @@
             .map_err(io_at(&path))?;
         let mut bytes = Vec::new();
         journal.read_to_end(&mut bytes).map_err(io_at(&path))?;
-        let content =
-            journal::scan(&bytes).map_err(|fault| StorageError::Corrupt(path.clone(), fault))?;
+        let content = journal::scan_torn(&bytes)
+            .map_err(|fault| StorageError::Corrupt(path.clone(), fault))?;
         if content.torn_bytes > 0 {
             spdlog::warn!("storage: cut {} bytes of a torn tail.", content.torn_bytes);
             journal
@@ -238,7 +266,7 @@
     }
 }
 
-fn check_identity(folder: &Path, expected: ReplicaId) -> Result<(), StorageError> {
+fn read_identity(folder: &Path) -> Result<ReplicaId, StorageError> {
     let path = folder.join(IDENTITY_FILE);
     let text = match std::fs::read(&path) {
         Ok(text) => text,
@@ -249,11 +277,13 @@
     };
     let identity: FolderIdentity =
         serde_json::from_slice(&text).map_err(|e| StorageError::BadIdentity(e.to_string()))?;
-    if identity.replica != expected {
-        return Err(StorageError::OtherReplica {
-            found: identity.replica,
-            expected,
-        });
+    Ok(identity.replica)
+}
+
+fn check_identity(folder: &Path, expected: ReplicaId) -> Result<(), StorageError> {
+    let found = read_identity(folder)?;
+    if found != expected {
+        return Err(StorageError::OtherReplica { found, expected });
     }
     Ok(())
 }
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -329,7 +329,7 @@
             let frame = answer.next_frame().await?;
             Some((frame, answer))
         });
-        let mut response = Response::new(BodyExt::boxed(StreamBody::new(frames)));
+        let mut response = Response::new(BodyExt::boxed_unsync(StreamBody::new(frames)));
         let value = HeaderValue::from_static("text/event-stream");
         response.headers_mut().insert(CONTENT_TYPE, value);
         response
--- a/crates/standin/src/plain.rs
+++ b/crates/standin/src/plain.rs
@@ -151,5 +151,5 @@
     use http_body_util::{BodyExt, StreamBody};
     let frames =
         futures_util::stream::iter([Err::<hyper::body::Frame<bytes::Bytes>, _>("broken".into())]);
-    Response::new(BodyExt::boxed(StreamBody::new(frames)))
+    Response::new(BodyExt::boxed_unsync(StreamBody::new(frames)))
 }
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -12,6 +12,8 @@
     beat @2;       # entry to keeper: heartbeat for a lease
     exchange @3;   # entry to entry: endpoint records
     credit @4;     # entry to entry: slots of cold endpoints
+    watch @5;      # entry to keeper: waits for news of the routing state
+    join @6;       # keeper to keeper: asks to become a member
   }
 
   enum Status {
--- a/crates/wire/src/clock.rs
+++ b/crates/wire/src/clock.rs
@@ -1,18 +1,31 @@
 //! The clocks that the daemons hand to the deciding code.
 
 use std::sync::OnceLock;
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use rustix::time::{ClockId, clock_gettime};
 
 use chestnutloft_core::time::TimePoint;
 
-static START: OnceLock<Instant> = OnceLock::new();
+/// Moves the epoch an hour back, so that spans can be subtracted from the first readings.
+const HEAD_START_US: u64 = 3_600_000_000;
+
+static START: OnceLock<u64> = OnceLock::new();
+
+/// Microseconds since the machine started, the time that it was suspended included: a lease must
+/// not outlive a suspension of its holder.
+fn boot_micros() -> u64 {
+    let time = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+    let nanos = u64::try_from(time.tv_nsec).unwrap_or_default();
+    seconds * 1_000_000 + nanos / 1_000
+}
 
-/// Monotonic time since this process first asked, moved by an hour so that spans can be
-/// subtracted from it.
+/// Monotonic time since this process first asked.
 pub fn now() -> TimePoint {
-    let start = START.get_or_init(Instant::now);
-    let micros = u64::try_from(start.elapsed().as_micros()).unwrap_or(u64::MAX);
-    TimePoint::from_micros(micros + 3_600_000_000)
+    let start = START.get_or_init(boot_micros);
+    let elapsed = boot_micros().saturating_sub(*start);
+    TimePoint::from_micros(elapsed + HEAD_START_US)
 }
 
 /// Unix time.
--- a/crates/wire/src/http.rs
+++ b/crates/wire/src/http.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::combinators::BoxBody;
+use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::{Request, Response, StatusCode};
@@ -23,7 +23,7 @@
 pub type BodyError = Box<dyn std::error::Error + Send + Sync>;
 
 /// Body of a request or response.
-pub type AnyBody = BoxBody<Bytes, BodyError>;
+pub type AnyBody = UnsyncBoxBody<Bytes, BodyError>;
 
 /// Client for HTTP/1.1 with a pool of connections.
 pub type HttpClient = Client<HttpConnector, AnyBody>;
@@ -49,7 +49,7 @@
 pub fn full(content: impl Into<Bytes>) -> AnyBody {
     Full::new(content.into())
         .map_err(|never: Infallible| match never {})
-        .boxed()
+        .boxed_unsync()
 }
 
 /// A JSON response.
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -1,9 +1,12 @@
 //! Typed messages between chestnutloft's processes.
 
+use std::sync::Arc;
+
 use serde::{Deserialize, Serialize};
 
 use chestnutloft_core::consensus::{PeerMessage, ReplicaId};
 use chestnutloft_core::ids::{EndpointId, EntryId};
+use chestnutloft_core::routing::{ArmCount, ArmKey, RoutingRevision, RoutingUpdate};
 use chestnutloft_core::state::{
     CreditGrant, CreditReport, EndpointRecord, EntryBeat, KeeperCommand, KeeperOutcome, LeaseGrant,
 };
@@ -100,3 +103,65 @@
     /// The grants.
     pub grants: Vec<Option<CreditGrant>>,
 }
+
+/// An entry waits for news of the routing state.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct WatchCall {
+    /// Name of the entry.
+    pub entry: Arc<str>,
+    /// What it has.
+    pub known: RoutingRevision,
+    /// Hash of the lists of keepers and entries that it has; see [`WatchReply::Current`].
+    pub peers_hash: u64,
+    /// What it saw of versions under roll-out since it started, where that has changed.
+    pub arms: Option<Vec<(ArmKey, ArmCount)>>,
+}
+
+/// Lists of processes, sent when they change.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct PeerLists {
+    /// RPC addresses of the keepers.
+    pub keepers: Vec<String>,
+    /// Names of the entries that were heard lately, in order.
+    pub entries: Vec<Arc<str>>,
+}
+
+impl PeerLists {
+    /// A hash that tells two lists apart.
+    pub fn hash(&self) -> u64 {
+        let bytes = postcard::to_stdvec(self).unwrap_or_default();
+        chestnutloft_core::hash::key_hash(&bytes)
+    }
+}
+
+/// Answer to [`WatchCall`].
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum WatchReply {
+    /// The state was current at some time between call and answer.
+    Current {
+        /// What the entry lacks.
+        update: RoutingUpdate,
+        /// Lists, where they differ from the entry's.
+        peers: Option<PeerLists>,
+    },
+    /// This keeper does not lead; RPC address of the one that does, if known.
+    NotLeader(Option<String>),
+}
+
+/// A keeper asks to become a member.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct JoinCall {
+    /// Its replica.
+    pub replica: ReplicaId,
+    /// Its RPC address.
+    pub address: String,
+}
+
+/// Answer to [`JoinCall`].
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum JoinReply {
+    /// The leader knows of the wish.
+    Noted,
+    /// This keeper does not lead; RPC addresses to ask next, the leader's first.
+    Ask(Vec<String>),
+}
