--- a/crates/entry/src/forward/daemon.rs
+++ b/crates/entry/src/forward/daemon.rs
@@ -11,12 +11,13 @@
 use chestnutloft_wire::auth::cluster_proof;
 use chestnutloft_wire::clock;
 use chestnutloft_wire::rpc_client::PeerCaller;
+use chestnutloft_wire::settings::SeedReader;
 
 use super::call::ForwardGate;
 use super::dialect::EntryDialect;
 use super::door::{OpenCount, serve_callers, serve_readiness};
 use super::settings::ForwardSettings;
-use super::watch::watch_keepers;
+use super::watch::{SeedList, watch_keepers};
 
 /// Time between two sweeps of idle connections.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
@@ -59,13 +60,15 @@
 }
 
 impl ForwardDaemon {
-    /// Starts an entry that speaks `dialect`.
+    /// Starts an entry that speaks `dialect`. `seeds` reads the settings file anew when no keeper
+    /// that is known answers.
     ///
     /// # Errors
     /// [`StartError`] when an address is taken.
     pub async fn start(
         settings: &ForwardSettings,
         dialect: EntryDialect,
+        seeds: SeedReader,
     ) -> Result<Self, StartError> {
         let callers = TcpListener::bind(settings.callers)
             .await
@@ -88,8 +91,11 @@
             is_draining,
             is_closed,
         ));
-        let seeds = settings.seed_addresses();
-        tokio::spawn(watch_keepers(Arc::clone(&gate), caller, seeds));
+        tokio::spawn(watch_keepers(
+            Arc::clone(&gate),
+            caller,
+            SeedList::new(settings, seeds),
+        ));
         tokio::spawn(sweep_links(Arc::clone(&gate)));
         spdlog::info!(
             "entry: {} serves callers at {} in {}.",
--- a/crates/entry/src/forward/settings.rs
+++ b/crates/entry/src/forward/settings.rs
@@ -116,10 +116,4 @@
         );
         findings
     }
-
-    /// RPC addresses of the seeds.
-    pub fn seed_addresses(&self) -> Vec<String> {
-        let at_port = |seed: &SocketAddr| SocketAddr::new(seed.ip(), self.keeper_port).to_string();
-        self.seeds.iter().map(at_port).collect()
-    }
 }
--- a/crates/entry/src/forward/watch.rs
+++ b/crates/entry/src/forward/watch.rs
@@ -1,5 +1,6 @@
 //! Keeps the book current: waits at the leading keeper for news.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,26 +9,59 @@
 use chestnutloft_wire::message::{PeerLists, WatchCall, WatchReply};
 use chestnutloft_wire::rpc::Method;
 use chestnutloft_wire::rpc_client::PeerCaller;
+use chestnutloft_wire::settings::SeedReader;
 
 use super::call::ForwardGate;
+use super::settings::ForwardSettings;
 
 /// Time for one call: the keeper's longest wait and a second for the way.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Wait after a call without an answer.
 const RETRY_WAIT: Duration = Duration::from_millis(60);
 
+/// Keepers named in the settings file.
+pub struct SeedList {
+    reader: SeedReader,
+    port: u16,
+    addresses: Vec<String>,
+}
+
+impl SeedList {
+    /// The seeds of `settings`; `reader` reads the file anew.
+    pub fn new(settings: &ForwardSettings, reader: SeedReader) -> Self {
+        let mut list = Self {
+            reader,
+            port: settings.keeper_port,
+            addresses: Vec::new(),
+        };
+        list.set(&settings.seeds);
+        list
+    }
+
+    fn set(&mut self, seeds: &[SocketAddr]) {
+        let at_port = |seed: &SocketAddr| SocketAddr::new(seed.ip(), self.port).to_string();
+        self.addresses = seeds.iter().map(at_port).collect();
+    }
+
+    fn refresh(&mut self) {
+        if let Some(seeds) = (self.reader)() {
+            self.set(&seeds);
+        }
+    }
+}
+
 struct KeeperWatch {
     gate: Arc<ForwardGate>,
     caller: PeerCaller,
-    seeds: Vec<String>,
+    seeds: SeedList,
     peers: PeerLists,
     target: Option<String>,
     turn: usize,
     is_in_touch: bool,
 }
 
-/// Watches until the process ends. `seeds` are the RPC addresses of some keepers.
-pub async fn watch_keepers(gate: Arc<ForwardGate>, caller: PeerCaller, seeds: Vec<String>) {
+/// Watches until the process ends.
+pub async fn watch_keepers(gate: Arc<ForwardGate>, caller: PeerCaller, seeds: SeedList) {
     let mut watch = KeeperWatch {
         gate,
         caller,
@@ -43,10 +77,22 @@
 }
 
 impl KeeperWatch {
+    fn keepers(&self) -> impl Iterator<Item = &String> {
+        self.peers.keepers.iter().chain(&self.seeds.addresses)
+    }
+
+    /// Asks another keeper next time. The seeds may have been exchanged once all have been asked.
+    fn turn(&mut self) {
+        self.turn += 1;
+        if self.turn % self.keepers().count() == 0 {
+            self.seeds.refresh();
+        }
+    }
+
     /// The leader where it is known, else each keeper in turn.
     fn target(&self) -> String {
         let known = || {
-            let all: Vec<&String> = self.peers.keepers.iter().chain(&self.seeds).collect();
+            let all: Vec<&String> = self.keepers().collect();
             all[self.turn % all.len()].clone()
         };
         self.target.clone().unwrap_or_else(known)
@@ -69,12 +115,12 @@
             }
             Ok(WatchReply::NotLeader(hint)) => {
                 // A hint at the keeper that has just failed to answer helps nobody.
-                self.turn += 1;
+                self.turn();
                 self.target = hint.filter(|hint| *hint != target);
                 tokio::time::sleep(RETRY_WAIT).await;
             }
             Err(error) => {
-                self.turn += 1;
+                self.turn();
                 self.target = None;
                 self.note_touch(now, false, &error.to_string());
                 tokio::time::sleep(RETRY_WAIT).await;
--- a/crates/keeper/src/daemon.rs
+++ b/crates/keeper/src/daemon.rs
@@ -20,11 +20,12 @@
 };
 use chestnutloft_wire::rpc::{self, CallAnswer, CallHandler, Method, Status};
 use chestnutloft_wire::rpc_client::PeerCaller;
+use chestnutloft_wire::settings::SeedReader;
 use chestnutloft_wire::{clock, http};
 
 use crate::actor::{MembershipView, ReplicaActor, ReplicaArguments, ReplicaMessage};
 use crate::control::{ControlDesk, ControlDialect};
-use crate::formation::{self, FormationSettings, JOIN_INTERVAL};
+use crate::formation::{self, JOIN_INTERVAL};
 use crate::metrics::KeeperMetrics;
 use crate::operator::OperatorDoor;
 use crate::settings::KeeperSettings;
@@ -99,13 +100,14 @@
     }
 
     /// Starts a keeper that founds or joins its cluster by itself, and that serves operators and
-    /// endpoints in `dialect`.
+    /// endpoints in `dialect`. `seeds` reads the settings file anew while no leader is heard.
     ///
     /// # Errors
     /// [`StartError`] when the folder cannot be trusted or an address is taken.
     pub async fn start_joining(
         mut settings: KeeperSettings,
         dialect: ControlDialect,
+        seeds: SeedReader,
     ) -> Result<Self, StartError> {
         let listener = bind_rpc(&settings)?;
         if let Some(formation) = &settings.formation {
@@ -113,7 +115,7 @@
                 formation::prepare_folder(&settings, formation).map_err(StartError::Storage)?;
             settings.replica = replica.0;
         }
-        Self::start_serving(settings, listener, Some(dialect)).await
+        Self::start_serving(settings, listener, Some((dialect, seeds))).await
     }
 
     /// Starts a keeper that serves RPC on `listener`, whatever `settings.rpc` says.
@@ -130,7 +132,7 @@
     async fn start_serving(
         mut settings: KeeperSettings,
         listener: std::net::TcpListener,
-        dialect: Option<ControlDialect>,
+        joining: Option<(ControlDialect, SeedReader)>,
     ) -> Result<Self, StartError> {
         let io_at = |what: &str| {
             let what = what.to_owned();
@@ -168,8 +170,14 @@
             .await
             .map_err(io_at("http"))?;
         let http = listener.local_addr().map_err(io_at("http"))?;
-        let door = match dialect {
-            Some(dialect) => {
+        let door = match joining {
+            Some((dialect, seeds)) => {
+                tokio::spawn(ask_to_join(
+                    replica.clone(),
+                    caller,
+                    settings.clone(),
+                    seeds,
+                ));
                 let desk = ControlDesk {
                     replica: replica.clone(),
                     address: http,
@@ -188,15 +196,6 @@
                 tokio::spawn(http::serve(listener, stopped, SHUTDOWN_PATIENCE, service))
             }
         };
-        if let Some(formation) = settings.formation.clone() {
-            tokio::spawn(ask_to_join(
-                replica.clone(),
-                caller,
-                ReplicaId(settings.replica),
-                settings.rpc,
-                formation,
-            ));
-        }
         spdlog::info!(
             "keeper: replica {} serves RPC at {rpc}, operators at {http}.",
             settings.replica
@@ -246,15 +245,13 @@
 async fn ask_to_join(
     replica: ActorRef<ReplicaMessage>,
     caller: PeerCaller,
-    id: ReplicaId,
-    address: SocketAddr,
-    formation: FormationSettings,
+    settings: KeeperSettings,
+    reader: SeedReader,
 ) {
     let call = JoinCall {
-        replica: id,
-        address: address.to_string(),
+        replica: ReplicaId(settings.replica),
+        address: settings.rpc.to_string(),
     };
-    let seeds = formation.seed_addresses(address.port());
     let mut hints: Vec<String> = Vec::new();
     loop {
         tokio::time::sleep(JOIN_INTERVAL).await;
@@ -268,6 +265,8 @@
             continue;
         }
         let mut asked: Vec<String> = std::mem::take(&mut hints);
+        let seeds = reader().unwrap_or_default();
+        let seeds = formation::seed_addresses(&seeds, settings.rpc.port());
         asked.extend(seeds.iter().map(ToString::to_string));
         asked.extend(view.members);
         let mut known = HashSet::new();
--- a/crates/keeper/src/formation.rs
+++ b/crates/keeper/src/formation.rs
@@ -43,15 +43,15 @@
     pub fn max_voters(&self) -> usize {
         2 * self.tolerated_losses + 1
     }
+}
 
-    /// RPC addresses of the seeds.
-    pub fn seed_addresses(&self, rpc_port: u16) -> Vec<SocketAddr> {
-        let mut ips: Vec<IpAddr> = self.seeds.iter().map(SocketAddr::ip).collect();
-        ips.sort_unstable();
-        ips.dedup();
-        let at_port = |ip| SocketAddr::new(ip, rpc_port);
-        ips.into_iter().map(at_port).collect()
-    }
+/// RPC addresses of the keepers whose addresses for operators are `seeds`, in order.
+pub fn seed_addresses(seeds: &[SocketAddr], rpc_port: u16) -> Vec<SocketAddr> {
+    let mut ips: Vec<IpAddr> = seeds.iter().map(SocketAddr::ip).collect();
+    ips.sort_unstable();
+    ips.dedup();
+    let at_port = |ip| SocketAddr::new(ip, rpc_port);
+    ips.into_iter().map(at_port).collect()
 }
 
 /// Formats the data folder where it is empty. Returns the number of this replica.
@@ -69,7 +69,7 @@
     if let Some(replica) = DataFolder::identity(&settings.data)? {
         return Ok(replica);
     }
-    let founders = formation.seed_addresses(settings.rpc.port());
+    let founders = seed_addresses(&formation.seeds, settings.rpc.port());
     let place = founders.iter().position(|seed| *seed == settings.rpc);
     let (replica, config) = match place {
         Some(place) if formation.is_founding => {
--- a/crates/wire/src/settings.rs
+++ b/crates/wire/src/settings.rs
@@ -1,7 +1,9 @@
 //! Settings files in YAML, checked whole.
 
 use std::fmt;
+use std::net::SocketAddr;
 use std::path::Path;
+use std::sync::Arc;
 
 use serde::de::DeserializeOwned;
 
@@ -93,3 +95,25 @@
         eprintln!("{}: {finding}", file.display());
     }
 }
+
+/// Reads the addresses of some keepers anew from the settings file; `None` where the file cannot
+/// be used at present.
+pub type SeedReader = Arc<dyn Fn() -> Option<Vec<SocketAddr>> + Send + Sync>;
+
+/// A reader of the seeds in the settings file at `path`.
+pub fn seed_reader<T, C, S>(path: &Path, check: C, seeds: S) -> SeedReader
+where
+    T: DeserializeOwned,
+    C: Fn(&T) -> Vec<SettingsFinding> + Send + Sync + 'static,
+    S: Fn(&T) -> Vec<SocketAddr> + Send + Sync + 'static,
+{
+    let path = path.to_owned();
+    Arc::new(move || match load::<T>(&path, &check) {
+        Ok(settings) => Some(seeds(&settings)),
+        Err(findings) => {
+            let findings: Vec<String> = findings.iter().map(ToString::to_string).collect();
+            spdlog::warn!("settings: the file is not used: {}.", findings.join("; "));
+            None
+        }
+    })
+}
--- a/crates/wire/src/shutdown.rs
+++ b/crates/wire/src/shutdown.rs
@@ -1,4 +1,4 @@
-//! Signals that ask a process to end.
+//! Signals that ask a process to end, or to read its settings again.
 
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -16,3 +16,16 @@
         _ => std::future::pending().await,
     }
 }
+
+/// Calls `reload` at each SIGHUP, which without this would end the process. Never returns.
+pub async fn on_reload(reload: impl Fn()) {
+    match signal(SignalKind::hangup()) {
+        Ok(mut hangup) => {
+            while hangup.recv().await.is_some() {
+                reload();
+            }
+        }
+        Err(error) => spdlog::error!("settings: SIGHUP is not handled: {error}."),
+    }
+    std::future::pending().await
+}
