Refuse late calls of a shutdown, and place calls by the work that waits

Placement counted calls, while endpoints wait for prompts. Change: after a third of the time new calls are refused with a time to come back; the expected wait is the work sent and not begun, or the delay met last. Roll-outs keep time on every replica. Tests of the pure core come with it.

--- a/crates/core/src/routing/ladder.rs
+++ b/crates/core/src/routing/ladder.rs
@@ -2,8 +2,11 @@
 
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 /// How the ladder decides.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
 pub struct LadderSettings {
     /// Confidence, 0 to 100, below which an answer of the first rung is dropped for a larger
     /// model's.
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -7,6 +7,7 @@
 mod health;
 mod ladder;
 mod placement;
+mod pressure;
 mod rollout;
 mod sessions;
 mod state;
@@ -24,6 +25,7 @@
 pub use health::{HealthSettings, PoolHealth};
 pub use ladder::{LadderSettings, ModelLadder};
 pub use placement::{EndpointSeat, PlacementSettings, PlacementWish, choose_seat};
+pub use pressure::{PressureBook, PressureSettings, WorkEstimate};
 pub use rollout::{RolloutOrder, RolloutStage, RolloutState, RolloutTiming};
 pub use sessions::SessionVersions;
 pub use state::{
--- /dev/null
+++ b/crates/core/src/routing/pressure.rs
@@ -0,0 +1,149 @@
+//! How long an endpoint keeps a new call waiting, from what this entry sees of it.
+//!
+//! An endpoint reads prompts one after the other between the tokens of all that it runs, so the
+//! number of its calls says little. What counts is the work that waits, and the delay that the
+//! last calls met, those of other entries included.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::time::TimePoint;
+
+/// How pressure is measured.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct PressureSettings {
+    /// Time in which a delay seen counts for half.
+    pub half_life_ms: f64,
+    /// Weight of a new delay against the one remembered.
+    pub weight: f64,
+}
+
+impl Default for PressureSettings {
+    fn default() -> Self {
+        Self {
+            half_life_ms: 500.0,
+            weight: 0.6,
+        }
+    }
+}
+
+/// Work of one endpoint that this entry has sent and that has not begun to answer.
+#[derive(Clone, Copy, Debug, Default)]
+struct PendingWork {
+    calls: u32,
+    work_ms: f64,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct EndpointPressure {
+    pending: PendingWork,
+    delay_ms: f64,
+    delay_at: TimePoint,
+}
+
+/// Pressure of all endpoints.
+#[derive(Clone, Debug, Default)]
+pub struct PressureBook {
+    settings: PressureSettings,
+    endpoints: HashMap<Arc<str>, EndpointPressure>,
+}
+
+impl PressureBook {
+    /// Empty.
+    pub fn new(settings: PressureSettings) -> Self {
+        Self {
+            settings,
+            ..Self::default()
+        }
+    }
+
+    /// Notes a call of `work_ms` sent to `id`.
+    pub fn begin(&mut self, id: &Arc<str>, work_ms: f64) {
+        let pending = &mut self.endpoints.entry(Arc::clone(id)).or_default().pending;
+        pending.calls += 1;
+        pending.work_ms += work_ms;
+    }
+
+    /// Notes that a call of `work_ms` has begun to answer, or will not.
+    pub fn end(&mut self, id: &str, work_ms: f64) {
+        if let Some(endpoint) = self.endpoints.get_mut(id) {
+            let pending = &mut endpoint.pending;
+            pending.calls = pending.calls.saturating_sub(1);
+            pending.work_ms = if pending.calls == 0 {
+                0.0
+            } else {
+                (pending.work_ms - work_ms).max(0.0)
+            };
+        }
+    }
+
+    /// Notes that a call of `work_ms` began to answer, or was given up, `took` after it was sent.
+    pub fn note_delay(&mut self, now: TimePoint, id: &Arc<str>, work_ms: f64, took: Duration) {
+        let PressureSettings { weight, .. } = self.settings;
+        let known = self.delay_ms(now, id);
+        let seen = (took.as_secs_f64() * 1_000.0 - work_ms).max(0.0);
+        let endpoint = self.endpoints.entry(Arc::clone(id)).or_default();
+        endpoint.delay_ms = known * (1.0 - weight) + seen * weight;
+        endpoint.delay_at = now;
+    }
+
+    fn delay_ms(&self, now: TimePoint, id: &str) -> f64 {
+        self.endpoints.get(id).map_or(0.0, |endpoint| {
+            let age_ms = now.since(endpoint.delay_at).as_secs_f64() * 1_000.0;
+            endpoint.delay_ms * 0.5_f64.powf(age_ms / self.settings.half_life_ms)
+        })
+    }
+
+    /// Time that a new call to `id` waits before it is read, in milliseconds.
+    pub fn wait_ms(&self, now: TimePoint, id: &str) -> f64 {
+        let own = self
+            .endpoints
+            .get(id)
+            .map_or(0.0, |endpoint| endpoint.pending.work_ms);
+        own.max(self.delay_ms(now, id))
+    }
+
+    /// Forgets an endpoint.
+    pub fn forget(&mut self, id: &str) {
+        self.endpoints.remove(id);
+    }
+}
+
+/// Quantile of the times that estimates follow: well below the median, so that an estimate is
+/// the work of a call without the wait before it.
+const QUANTILE: f64 = 0.25;
+/// Step of an estimate towards each new time, as a share.
+const STEP: f64 = 0.08;
+/// Tokens that every call costs beside those it reads.
+const BASE_TOKENS: f64 = 400.0;
+/// First estimate, in milliseconds for each token.
+const FIRST_MS_PER_TOKEN: f64 = 0.02;
+
+/// How long calls of each kind take to read, learnt from the times that they took.
+#[derive(Clone, Debug, Default)]
+pub struct WorkEstimate {
+    ms_per_token: HashMap<u64, f64>,
+}
+
+impl WorkEstimate {
+    /// Work of a call that reads `tokens`, in milliseconds; `kind` names the model.
+    pub fn work_ms(&self, kind: u64, tokens: f64) -> f64 {
+        let rate = self.ms_per_token.get(&kind);
+        (tokens + BASE_TOKENS) * rate.copied().unwrap_or(FIRST_MS_PER_TOKEN)
+    }
+
+    /// Notes that a call which read `tokens` took `took`.
+    pub fn note(&mut self, kind: u64, tokens: f64, took: Duration) {
+        let seen = took.as_secs_f64() * 1_000.0 / (tokens + BASE_TOKENS);
+        let rate = self.ms_per_token.entry(kind).or_insert(FIRST_MS_PER_TOKEN);
+        if seen < *rate {
+            *rate *= 1.0 - STEP * (1.0 - QUANTILE);
+        } else {
+            *rate *= 1.0 + STEP * QUANTILE;
+        }
+    }
+}
--- a/crates/core/src/routing/rollout.rs
+++ b/crates/core/src/routing/rollout.rs
@@ -52,24 +52,27 @@
     pub changed_at: ChangeIndex,
 }
 
-/// Shares of a roll-out's duration at which its stage changes.
+/// When a roll-out changes its stage.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RolloutTiming {
     /// Time before the deadline at which everything moves to the new version: long enough for
     /// the answers that the old version has begun.
     pub shift_before: Duration,
-    /// Time before the deadline at which the roll-out is completed.
+    /// Longest share of the duration that this time may take.
+    pub shift_share: f64,
+    /// Time before the deadline at which the roll-out is completed: long enough for an election.
     pub complete_before: Duration,
-    /// Share of the duration that the trial lasts at least.
-    pub trial_share: f64,
+    /// Longest share of the duration that this time may take.
+    pub complete_share: f64,
 }
 
 impl Default for RolloutTiming {
     fn default() -> Self {
         Self {
-            shift_before: Duration::from_millis(2_500),
-            complete_before: Duration::from_millis(900),
-            trial_share: 0.75,
+            shift_before: Duration::from_millis(3_200),
+            shift_share: 0.25,
+            complete_before: Duration::from_millis(1_500),
+            complete_share: 0.08,
         }
     }
 }
@@ -79,13 +82,13 @@
     pub fn stage_of_good(&self, order: &RolloutOrder, elapsed_ms: u64) -> RolloutStage {
         let duration = Duration::from_millis(order.duration_ms);
         let elapsed = Duration::from_millis(elapsed_ms);
-        let shift_at = duration
-            .saturating_sub(self.shift_before)
-            .max(duration.mul_f64(self.trial_share));
-        let complete_at = duration.saturating_sub(self.complete_before).max(shift_at);
-        if elapsed >= complete_at {
+        let shift = self.shift_before.min(duration.mul_f64(self.shift_share));
+        let complete = self
+            .complete_before
+            .min(duration.mul_f64(self.complete_share));
+        if elapsed + complete >= duration {
             RolloutStage::Completed
-        } else if elapsed >= shift_at {
+        } else if elapsed + shift >= duration {
             RolloutStage::Shift
         } else {
             RolloutStage::Trial
--- /dev/null
+++ b/crates/core/tests/routing/directory.rs
@@ -0,0 +1,110 @@
+use chestnutloft_core::routing::{EndpointDirectory, EndpointNotice, EndpointPhase, NoticeOutcome};
+use std::sync::Arc;
+
+use crate::fixture::notice;
+
+fn phase(directory: &EndpointDirectory, id: &str) -> Option<EndpointPhase> {
+    directory.get(id).map(|endpoint| endpoint.notice.phase)
+}
+
+fn draining(id: &str, born_ms: u64, sequence: u64) -> EndpointNotice {
+    EndpointNotice {
+        phase: EndpointPhase::Draining,
+        ..notice(id, born_ms, sequence)
+    }
+}
+
+#[test]
+fn a_repeated_notice_only_refreshes() {
+    let mut directory = EndpointDirectory::default();
+
+    let first = directory.apply(1, &notice("a", 100, 1));
+    let second = directory.apply(2, &notice("a", 100, 2));
+
+    assert_eq!(first, NoticeOutcome::Changes);
+    assert_eq!(second, NoticeOutcome::Refreshes);
+    assert_eq!(
+        directory.get("a").map(|endpoint| endpoint.changed_at),
+        Some(1)
+    );
+}
+
+#[test]
+fn a_late_notice_does_not_undo_draining() {
+    let mut directory = EndpointDirectory::default();
+    directory.apply(1, &notice("a", 100, 1));
+    directory.apply(2, &draining("a", 100, 3));
+
+    let late = directory.apply(3, &notice("a", 100, 2));
+
+    assert_eq!(late, NoticeOutcome::Stale);
+    assert_eq!(phase(&directory, "a"), Some(EndpointPhase::Draining));
+}
+
+#[test]
+fn an_endpoint_that_left_stays_gone_until_it_is_born_again() {
+    let mut directory = EndpointDirectory::default();
+    directory.apply(1, &notice("a", 100, 1));
+    directory.leave(2, "a", None);
+
+    let late = directory.apply(3, &notice("a", 100, 9));
+    let reborn = directory.apply(4, &notice("a", 200, 1));
+
+    assert_eq!(late, NoticeOutcome::Stale);
+    assert_eq!(reborn, NoticeOutcome::Changes);
+    assert_eq!(phase(&directory, "a"), Some(EndpointPhase::Ready));
+}
+
+#[test]
+fn a_late_goodbye_of_an_earlier_life_changes_nothing() {
+    let mut directory = EndpointDirectory::default();
+    directory.apply(1, &notice("a", 200, 1));
+
+    let is_news = directory.leave(2, "a", Some(100));
+
+    assert!(!is_news);
+    assert_eq!(phase(&directory, "a"), Some(EndpointPhase::Ready));
+}
+
+#[test]
+fn an_address_belongs_to_the_endpoint_born_last() {
+    let mut directory = EndpointDirectory::default();
+    directory.apply(1, &notice("old", 100, 5));
+    directory.apply(2, &notice("new", 200, 1));
+
+    let late = directory.apply(3, &notice("old", 100, 6));
+
+    assert_eq!(late, NoticeOutcome::Stale);
+    assert_eq!(phase(&directory, "old"), Some(EndpointPhase::Gone));
+    assert_eq!(phase(&directory, "new"), Some(EndpointPhase::Ready));
+}
+
+#[test]
+fn an_endpoint_that_turns_cold_again_is_news_and_one_that_warms_up_is_not() {
+    let mut directory = EndpointDirectory::default();
+    let cold = |sequence, cold_left_ms| EndpointNotice {
+        cold_left_ms,
+        ..notice("a", 100, sequence)
+    };
+    directory.apply(1, &cold(1, 2_000));
+
+    assert_eq!(directory.judge(&cold(2, 800)), NoticeOutcome::Refreshes);
+    directory.apply(2, &cold(2, 0));
+    assert_eq!(directory.judge(&cold(3, 2_500)), NoticeOutcome::Changes);
+}
+
+#[test]
+fn gone_endpoints_are_forgotten_in_the_end() {
+    let mut directory = EndpointDirectory::default();
+
+    for number in 0..5_000_u64 {
+        let id = format!("e{number}");
+        let mut notice = notice(&id, 100 + number, 1);
+        notice.address = Arc::from(format!("10.0.0.1:{number}"));
+        directory.apply(number, &notice);
+        directory.leave(number, &id, None);
+    }
+
+    assert!(directory.iter().count() <= 2_001);
+    assert!(directory.get("e4999").is_some());
+}
--- /dev/null
+++ b/crates/core/tests/routing/placement.rs
@@ -0,0 +1,132 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use chestnutloft_core::routing::{
+    EndpointSeat, PlacementSettings, PlacementWish, PressureBook, PressureSettings, WorkEstimate,
+    choose_seat,
+};
+use chestnutloft_core::time::TimePoint;
+
+fn seat<'a>(id: &'a str, domain: &'a str) -> EndpointSeat<'a> {
+    EndpointSeat {
+        id,
+        domain,
+        load: 4.0,
+        slots: 64.0,
+        wait_ms: 0.0,
+        pace: 1.0,
+        is_on_trial: false,
+    }
+}
+
+fn wish(prefix: Option<u64>) -> PlacementWish<'static> {
+    PlacementWish {
+        domain: "north",
+        prefix,
+        prefix_ms: 100.0,
+        own_ms: 50.0,
+    }
+}
+
+fn chosen(wish: &PlacementWish<'_>, seats: &[EndpointSeat<'_>]) -> String {
+    let place = choose_seat(&PlacementSettings::default(), wish, seats).expect("seats");
+    seats[place].id.to_owned()
+}
+
+#[test]
+fn without_seats_nothing_is_chosen() {
+    assert_eq!(
+        choose_seat(&PlacementSettings::default(), &wish(None), &[]),
+        None
+    );
+}
+
+#[test]
+fn the_own_failure_domain_is_preferred_where_waits_are_equal() {
+    let seats = [seat("far", "south"), seat("near", "north")];
+
+    assert_eq!(chosen(&wish(None), &seats), "near");
+}
+
+#[test]
+fn a_long_wait_outweighs_the_failure_domain() {
+    let busy = EndpointSeat {
+        wait_ms: 400.0,
+        ..seat("near", "north")
+    };
+
+    assert_eq!(chosen(&wish(None), &[seat("far", "south"), busy]), "far");
+}
+
+#[test]
+fn a_slow_endpoint_gets_less() {
+    let slow = EndpointSeat {
+        pace: 5.0,
+        ..seat("a", "north")
+    };
+
+    assert_eq!(chosen(&wish(None), &[slow, seat("b", "north")]), "b");
+}
+
+#[test]
+fn calls_with_one_prefix_go_to_one_endpoint_until_it_is_busy() {
+    let names = ["a", "b", "c", "d"];
+    let seats: Vec<_> = names.iter().map(|name| seat(name, "north")).collect();
+    let owner = chosen(&wish(Some(77)), &seats);
+    let mut busy = seats.clone();
+    for seat in &mut busy {
+        if seat.id == owner {
+            seat.wait_ms = 600.0;
+        }
+    }
+
+    assert_eq!(chosen(&wish(Some(77)), &seats), owner);
+    assert_ne!(chosen(&wish(Some(77)), &busy), owner);
+}
+
+#[test]
+fn an_endpoint_that_left_moves_few_prefixes() {
+    let names: Vec<String> = (0..8).map(|number| format!("w{number}")).collect();
+    let all: Vec<_> = names.iter().map(|name| seat(name, "north")).collect();
+    let fewer = &all[..7];
+
+    let moved = (0..400)
+        .filter(|key| chosen(&wish(Some(*key)), &all) != chosen(&wish(Some(*key)), fewer))
+        .count();
+
+    assert!(moved < 100, "{moved} of 400");
+}
+
+#[test]
+fn waits_grow_with_what_was_sent_and_fade_with_time() {
+    let mut pressure = PressureBook::new(PressureSettings::default());
+    let id: Arc<str> = Arc::from("a");
+    let now = TimePoint::from_millis(10_000);
+
+    pressure.begin(&id, 120.0);
+    pressure.begin(&id, 80.0);
+    let pending = pressure.wait_ms(now, &id);
+    pressure.end(&id, 120.0);
+    pressure.end(&id, 80.0);
+    let idle = pressure.wait_ms(now, &id);
+    pressure.note_delay(now, &id, 100.0, Duration::from_millis(1_100));
+    let delayed = pressure.wait_ms(now, &id);
+    let later = pressure.wait_ms(now + Duration::from_secs(3), &id);
+
+    assert!((pending - 200.0).abs() < 1e-9, "{pending}");
+    assert!(idle.abs() < 1e-9, "{idle}");
+    assert!(delayed > 300.0, "{delayed}");
+    assert!(later < delayed / 10.0, "{later}");
+}
+
+#[test]
+fn work_is_learnt_without_the_waits_before_it() {
+    let mut work = WorkEstimate::default();
+    for step in 0..2_000_u64 {
+        let wait = if step % 3 == 0 { 0 } else { 900 };
+        work.note(1, 3_600.0, Duration::from_millis(200 + wait));
+    }
+
+    let learnt = work.work_ms(1, 3_600.0);
+    assert!((150.0..400.0).contains(&learnt), "{learnt}");
+}
--- /dev/null
+++ b/crates/core/tests/routing/state.rs
@@ -0,0 +1,150 @@
+use std::sync::Arc;
+
+use chestnutloft_core::routing::{
+    DirectoryChange, PoolEndpoint, RolloutOrder, RolloutStage, RouteDeclaration, RoutingCommand,
+    RoutingOutcome, RoutingRevision, RoutingState, RoutingUpdate,
+};
+
+use crate::fixture::{declaration, notice, route, stored, workspace};
+
+fn describe(endpoint: &PoolEndpoint) -> DirectoryChange {
+    DirectoryChange {
+        endpoint: endpoint.clone(),
+        cold_left_ms: 0,
+    }
+}
+
+fn update(state: &RoutingState, index: u64, declaration: u64) -> RoutingUpdate {
+    state.update_from(RoutingRevision { index, declaration }, describe)
+}
+
+fn order(target: &str) -> RolloutOrder {
+    RolloutOrder {
+        service: Arc::from("orders"),
+        target: Arc::from(target),
+        duration_ms: 10_000,
+    }
+}
+
+#[test]
+fn the_highest_number_is_in_force() {
+    let mut state = RoutingState::default();
+    state.apply(1, &RoutingCommand::Declare(stored(declaration(7))));
+
+    let older = state.apply(2, &RoutingCommand::Declare(stored(declaration(5))));
+    let mut other = declaration(7);
+    other.routes.clear();
+    let same = state.apply(3, &RoutingCommand::Declare(stored(other)));
+
+    let held = state.declaration().expect("declared");
+    assert_eq!(older, RoutingOutcome::Overtaken);
+    assert_eq!(same, RoutingOutcome::Overtaken);
+    assert_eq!(*held.declaration, declaration(7));
+    assert_eq!(&*held.text, b"text of 7");
+}
+
+#[test]
+fn an_entry_reaches_the_same_declaration_by_differences() {
+    let mut state = RoutingState::default();
+    let mut wanted = declaration(1);
+    let mut known = RouteDeclaration::default();
+    for number in 1..40_u64 {
+        wanted.number = number * 3;
+        let name = format!("r{number}");
+        wanted.routes.push(route(&name, &format!("/{name}/")));
+        if number % 3 == 0 {
+            wanted.routes.remove(0);
+        }
+        if number % 4 == 0 {
+            wanted.routes[0].timeout_ms += 1;
+            wanted.workspaces[0] = workspace("riders", &[&name]);
+        }
+        state.apply(number, &RoutingCommand::Declare(stored(wanted.clone())));
+        // The entry misses some changes; at times too many for a difference.
+        if number % 5 == 0 || number > 30 {
+            let update = update(&state, 0, known.number);
+            update.declaration.expect("news").apply(&mut known);
+
+            let mut routes = known.routes.clone();
+            let mut expected = wanted.routes.clone();
+            routes.sort_by(|a, b| a.prefix.cmp(&b.prefix));
+            expected.sort_by(|a, b| a.prefix.cmp(&b.prefix));
+            assert_eq!(routes, expected, "number {number}");
+            assert_eq!(known.workspaces, wanted.workspaces);
+        }
+    }
+}
+
+#[test]
+fn a_difference_holds_only_what_changed() {
+    let mut state = RoutingState::default();
+    let mut wide = declaration(1);
+    for number in 0..500 {
+        let name = format!("r{number}");
+        wide.routes.push(route(&name, &format!("/{name}/")));
+    }
+    state.apply(1, &RoutingCommand::Declare(stored(wide.clone())));
+    wide.number = 2;
+    wide.routes[100].timeout_ms = 9;
+
+    state.apply(2, &RoutingCommand::Declare(stored(wide)));
+
+    let change = update(&state, 1, 1).declaration.expect("news");
+    assert_eq!(change.routes.len(), 1);
+    assert_eq!(change.services, None);
+    assert_eq!(change.workspaces, None);
+}
+
+#[test]
+fn an_entry_hears_of_each_change_once() {
+    let mut state = RoutingState::default();
+    state.apply(1, &RoutingCommand::Announce(notice("a", 100, 1)));
+    let first = update(&state, 0, 0);
+
+    let again = update(&state, first.index, 0);
+    let domain = Arc::from("north");
+    let is_out = true;
+    state.apply(2, &RoutingCommand::Evacuate { domain, is_out });
+    let evacuated = update(&state, first.index, 0);
+
+    assert_eq!(first.endpoints.len(), 1);
+    assert_eq!(again.endpoints.len(), 0);
+    assert_eq!(evacuated.endpoints.len(), 0);
+    assert_eq!(evacuated.evacuated, Some(vec![Arc::from("north")]));
+}
+
+#[test]
+fn a_resent_roll_out_goes_on_where_it_was() {
+    let mut state = RoutingState::default();
+    state.apply(1, &RoutingCommand::StartRollout(order("v2")));
+    let moved = RoutingCommand::MoveRollout {
+        service: Arc::from("orders"),
+        target: Arc::from("v2"),
+        stage: RolloutStage::Shift,
+        elapsed_ms: 8_000,
+    };
+    state.apply(2, &moved);
+
+    state.apply(3, &RoutingCommand::StartRollout(order("v2")));
+
+    assert_eq!(state.rollouts["orders"].stage, RolloutStage::Shift);
+    assert_eq!(state.rollouts["orders"].elapsed_ms, 8_000);
+}
+
+#[test]
+fn a_decided_roll_out_stays_decided() {
+    let mut state = RoutingState::default();
+    state.apply(1, &RoutingCommand::StartRollout(order("v2")));
+    let moved = |stage| RoutingCommand::MoveRollout {
+        service: Arc::from("orders"),
+        target: Arc::from("v2"),
+        stage,
+        elapsed_ms: 9_000,
+    };
+    state.apply(2, &moved(RolloutStage::RolledBack));
+
+    let outcome = state.apply(3, &moved(RolloutStage::Completed));
+
+    assert_eq!(outcome, RoutingOutcome::Overtaken);
+    assert_eq!(state.rollouts["orders"].stage, RolloutStage::RolledBack);
+}
--- a/crates/entry/src/forward/book.rs
+++ b/crates/entry/src/forward/book.rs
@@ -7,14 +7,14 @@
 use chestnutloft_core::hash::key_hash;
 use chestnutloft_core::routing::{
     ArmCount, ArmKey, ColdAllowance, EndpointNotice, EndpointPhase, EndpointSeat, HealthSettings,
-    PlacementSettings, PlacementWish, PoolHealth, RepeatBudget, RepeatSettings, RolloutStage,
-    RolloutState, RouteDeclaration, RouteRule, RouteTable, RoutingRevision, RoutingUpdate,
-    ServiceRule, SessionVersions, choose_seat,
+    PlacementSettings, PlacementWish, PoolHealth, PressureBook, RepeatBudget, RepeatSettings,
+    RolloutStage, RolloutState, RouteDeclaration, RouteRule, RouteTable, RoutingRevision,
+    RoutingUpdate, ServiceRule, SessionVersions, WorkEstimate, choose_seat,
 };
 use chestnutloft_core::time::TimePoint;
 
 use super::dialect::ReportedLoad;
-use super::settings::SharedLimits;
+use super::settings::{ForwardSettings, SharedLimits};
 
 /// Part of the time until a withdrawn key must be dead that an entry trusts what it knows; the
 /// rest covers the way of a call to its endpoint.
@@ -70,12 +70,25 @@
     pub service: &'a ServiceRule,
     /// Session, or the call itself where it belongs to none.
     pub session: u64,
-    /// Key of the prompt's shared parts with the model, and their tokens.
-    pub prefix: Option<(u64, f64)>,
+    /// What the call reads.
+    pub prompt: PromptSize,
     /// Endpoints that this call was sent to already.
     pub tried: &'a BTreeSet<Arc<str>>,
 }
 
+/// What a call reads, as one model reads it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct PromptSize {
+    /// Names the model.
+    pub kind: u64,
+    /// Key of the parts that other calls share.
+    pub shared: Option<u64>,
+    /// Tokens of those parts.
+    pub shared_tokens: f64,
+    /// Tokens of the part that is this call's alone.
+    pub own_tokens: f64,
+}
+
 /// An endpoint chosen for an attempt.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ChosenEndpoint {
@@ -115,6 +128,8 @@
     domain: Arc<str>,
     limits: SharedLimits,
     placement: PlacementSettings,
+    pressure: PressureBook,
+    work: WorkEstimate,
     declaration: RouteDeclaration,
     table: Arc<RouteTable>,
     index: u64,
@@ -135,7 +150,9 @@
 
 impl EntryBook {
     /// An empty book.
-    pub fn new(name: &str, domain: &str, limits: &SharedLimits) -> Self {
+    pub fn new(settings: &ForwardSettings) -> Self {
+        let limits = &settings.limits;
+        let name: Arc<str> = Arc::from(settings.name.as_str());
         let repeats = RepeatSettings {
             ratio: limits.repeat_ratio,
             slack: limits.repeat_slack,
@@ -143,17 +160,19 @@
             ..RepeatSettings::default()
         };
         Self {
-            name: Arc::from(name),
-            domain: Arc::from(domain),
+            name: Arc::clone(&name),
+            domain: Arc::from(settings.domain.as_str()),
             limits: limits.clone(),
-            placement: PlacementSettings::default(),
+            placement: settings.placement.clone(),
+            pressure: PressureBook::new(settings.pressure.clone()),
+            work: WorkEstimate::default(),
             declaration: RouteDeclaration::default(),
             table: Arc::default(),
             index: 0,
             endpoints: HashMap::new(),
             evacuated: BTreeSet::new(),
             rollouts: HashMap::new(),
-            entries: vec![Arc::from(name)],
+            entries: vec![name],
             current_at: None,
             sessions: SessionVersions::default(),
             health: PoolHealth::new(HealthSettings::default()),
@@ -229,6 +248,7 @@
             if known.is_some_and(|known| known.in_flight == 0) {
                 self.endpoints.remove(&notice.id);
                 self.health.forget(&notice.id);
+                self.pressure.forget(&notice.id);
             } else if let Some(known) = self.endpoints.get_mut(&notice.id) {
                 known.notice = notice;
             }
@@ -371,8 +391,9 @@
             .collect();
         let wish = PlacementWish {
             domain: &self.domain,
-            prefix: request.prefix.map(|(key, _)| key),
-            prefix_tokens: request.prefix.map_or(0.0, |(_, tokens)| tokens),
+            prefix: request.prompt.shared,
+            prefix_ms: self.read_ms(request.prompt.kind, request.prompt.shared_tokens),
+            own_ms: self.read_ms(request.prompt.kind, request.prompt.own_tokens),
         };
         let chosen = choose_seat(&self.placement, &wish, &seats).ok_or(NoEndpoint::NoneReady)?;
         let notice = &fit[chosen].notice;
@@ -390,11 +411,38 @@
             domain: &endpoint.notice.domain,
             load: endpoint.load(now),
             slots: f64::from(endpoint.notice.slots.max(1)),
+            wait_ms: self.pressure.wait_ms(now, id),
             pace: self.health.pace(id),
             is_on_trial: self.health.is_on_trial(id),
         }
     }
 
+    fn read_ms(&self, kind: u64, tokens: f64) -> f64 {
+        self.work.work_ms(kind, tokens)
+    }
+
+    /// Work of a call before its answer begins, in milliseconds, as far as known.
+    pub fn work_ms(&self, prompt: &PromptSize) -> f64 {
+        self.read_ms(prompt.kind, prompt.shared_tokens + prompt.own_tokens)
+    }
+
+    /// Notes that a call sent to `id` has begun to answer after `took`, or was given up then.
+    pub fn note_begun(
+        &mut self,
+        now: TimePoint,
+        id: &Arc<str>,
+        prompt: &PromptSize,
+        took: Duration,
+        is_answered: bool,
+    ) {
+        let work_ms = self.work_ms(prompt);
+        self.pressure.note_delay(now, id, work_ms, took);
+        if is_answered {
+            let tokens = prompt.shared_tokens + prompt.own_tokens;
+            self.work.note(prompt.kind, tokens, took);
+        }
+    }
+
     /// Endpoints that are neither ejected nor tried already, as far as there are any.
     fn fittest<'a>(
         &self,
@@ -474,7 +522,8 @@
     }
 
     /// Notes that an attempt is sent.
-    pub fn begin(&mut self, now: TimePoint, id: &Arc<str>) {
+    pub fn begin(&mut self, now: TimePoint, id: &Arc<str>, work_ms: f64) {
+        self.pressure.begin(id, work_ms);
         let Some(endpoint) = self.endpoints.get_mut(id) else {
             return;
         };
@@ -484,6 +533,11 @@
         }
     }
 
+    /// Notes that the work of an attempt before its answer is over.
+    pub fn end_work(&mut self, id: &str, work_ms: f64) {
+        self.pressure.end(id, work_ms);
+    }
+
     /// Notes that an attempt has ended.
     pub fn end(&mut self, id: &Arc<str>) {
         let Some(endpoint) = self.endpoints.get_mut(id) else {
@@ -494,6 +548,7 @@
         if is_over {
             self.endpoints.remove(id);
             self.health.forget(id);
+            self.pressure.forget(id);
         }
     }
 
@@ -588,8 +643,8 @@
 }
 
 /// Key of a prompt's shared parts as a given model reads them.
-pub fn prefix_key(parts: &[u64], model: Option<&str>) -> u64 {
+pub fn prefix_key(parts: &[u64], model: &str) -> u64 {
     let mut bytes: Vec<u8> = parts.iter().flat_map(|part| part.to_le_bytes()).collect();
-    bytes.extend_from_slice(model.unwrap_or_default().as_bytes());
+    bytes.extend_from_slice(model.as_bytes());
     key_hash(&bytes)
 }
--- a/crates/entry/src/forward/call.rs
+++ b/crates/entry/src/forward/call.rs
@@ -22,6 +22,8 @@
     pub links: LinkPool,
     /// Whether this entry is shutting down.
     pub leaving: watch::Receiver<bool>,
+    /// Whether it refuses new calls for that reason.
+    pub refusing: watch::Receiver<bool>,
     book: Mutex<EntryBook>,
 }
 
@@ -31,14 +33,16 @@
         settings: &ForwardSettings,
         dialect: EntryDialect,
         leaving: watch::Receiver<bool>,
+        refusing: watch::Receiver<bool>,
     ) -> Self {
-        let book = EntryBook::new(&settings.name, &settings.domain, &settings.limits);
+        let book = EntryBook::new(settings);
         Self {
             name: Arc::from(settings.name.as_str()),
             dialect,
-            ladder: LadderSettings::default(),
+            ladder: settings.ladder.clone(),
             links: LinkPool::default(),
             leaving,
+            refusing,
             book: Mutex::new(book),
         }
     }
--- a/crates/entry/src/forward/daemon.rs
+++ b/crates/entry/src/forward/daemon.rs
@@ -23,9 +23,9 @@
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 /// Share of the time for shutting down during which kept connections stay open: the balancer
 /// needs it to send new connections elsewhere.
-const KEEP_SHARE: f64 = 0.3;
-/// Share after which no new connection is accepted.
-const ACCEPT_SHARE: f64 = 0.6;
+const KEEP_SHARE: f64 = 0.28;
+/// Share after which new calls are refused, so that those under way can end.
+const ACCEPT_SHARE: f64 = 0.36;
 /// Share after which the process ends even with calls under way.
 const END_SHARE: f64 = 0.96;
 /// Wait between two looks at open connections.
@@ -56,7 +56,7 @@
     open: OpenCount,
     leaving: watch::Sender<bool>,
     draining: watch::Sender<bool>,
-    closed: watch::Sender<bool>,
+    refusing: watch::Sender<bool>,
 }
 
 impl ForwardDaemon {
@@ -80,8 +80,8 @@
             .map_err(|error| StartError::Io("rpc client", error))?;
         let (leaving, is_leaving) = watch::channel(false);
         let (draining, is_draining) = watch::channel(false);
-        let (closed, is_closed) = watch::channel(false);
-        let gate = Arc::new(ForwardGate::new(settings, dialect, is_leaving));
+        let (refusing, is_refusing) = watch::channel(false);
+        let gate = Arc::new(ForwardGate::new(settings, dialect, is_leaving, is_refusing));
         let open = OpenCount::default();
         tokio::spawn(serve_readiness(Arc::clone(&gate), readiness));
         tokio::spawn(serve_callers(
@@ -89,7 +89,6 @@
             callers,
             Arc::clone(&open),
             is_draining,
-            is_closed,
         ));
         tokio::spawn(watch_keepers(
             Arc::clone(&gate),
@@ -109,26 +108,22 @@
             open,
             leaving,
             draining,
-            closed,
+            refusing,
         })
     }
 
     /// Ends the entry without cutting a call: it tells the balancer first, then closes
-    /// connections as they go idle, then waits for calls under way.
+    /// connections as they go idle, then refuses new calls and waits for those under way.
     pub async fn shut_down(self) {
         let began_at = clock::now();
         let _ = self.leaving.send(true);
         tokio::time::sleep(self.shutdown.mul_f64(KEEP_SHARE)).await;
         let _ = self.draining.send(true);
-        loop {
-            let passed = clock::now().since(began_at);
-            if passed >= self.shutdown.mul_f64(ACCEPT_SHARE) {
-                let _ = self.closed.send(true);
-                let is_idle = self.open.load(Ordering::Relaxed) == 0;
-                if is_idle || passed >= self.shutdown.mul_f64(END_SHARE) {
-                    break;
-                }
-            }
+        let accepting = self.shutdown.mul_f64(ACCEPT_SHARE - KEEP_SHARE);
+        tokio::time::sleep(accepting).await;
+        let _ = self.refusing.send(true);
+        let end = self.shutdown.mul_f64(END_SHARE);
+        while self.open.load(Ordering::Relaxed) > 0 && clock::now().since(began_at) < end {
             tokio::time::sleep(OPEN_INTERVAL).await;
         }
         spdlog::info!(
--- a/crates/entry/src/forward/door.rs
+++ b/crates/entry/src/forward/door.rs
@@ -25,21 +25,16 @@
 /// Connections of callers that are open.
 pub type OpenCount = Arc<AtomicUsize>;
 
-/// Takes callers' connections until `closed` is set. Once `draining` is set, each connection is
+/// Takes callers' connections until the process ends. Once `draining` is set, each connection is
 /// closed as soon as it is idle.
 pub async fn serve_callers(
     gate: Arc<ForwardGate>,
     listener: TcpListener,
     open: OpenCount,
     draining: watch::Receiver<bool>,
-    mut closed: watch::Receiver<bool>,
 ) {
     loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            _ = closed.wait_for(|is_closed| *is_closed) => return,
-        };
-        let Ok((stream, _)) = accepted else {
+        let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_WAIT).await;
             continue;
         };
--- a/crates/entry/src/forward/exchange.rs
+++ b/crates/entry/src/forward/exchange.rs
@@ -48,21 +48,39 @@
     pub endpoint: ChosenEndpoint,
     /// When the attempt began.
     pub began_at: TimePoint,
+    /// Work before its answer, in milliseconds; `None` once that has begun.
+    work_ms: Option<f64>,
 }
 
 impl AttemptTicket {
-    fn begin(gate: &Arc<ForwardGate>, now: TimePoint, endpoint: ChosenEndpoint) -> Self {
-        gate.book().begin(now, &endpoint.id);
+    fn begin(
+        gate: &Arc<ForwardGate>,
+        now: TimePoint,
+        endpoint: ChosenEndpoint,
+        work_ms: f64,
+    ) -> Self {
+        gate.book().begin(now, &endpoint.id, work_ms);
         Self {
             gate: Arc::clone(gate),
             endpoint,
             began_at: now,
+            work_ms: Some(work_ms),
+        }
+    }
+}
+
+impl AttemptTicket {
+    /// Notes that the answer has begun.
+    pub fn note_begun(&mut self) {
+        if let Some(work_ms) = self.work_ms.take() {
+            self.gate.book().end_work(&self.endpoint.id, work_ms);
         }
     }
 }
 
 impl Drop for AttemptTicket {
     fn drop(&mut self) {
+        self.note_begun();
         self.gate.book().end(&self.endpoint.id);
     }
 }
@@ -104,9 +122,10 @@
     endpoint: ChosenEndpoint,
     model: Option<&str>,
     resume_after: Option<u64>,
+    work_ms: f64,
     wait: Duration,
 ) -> Result<LiveAnswer, AttemptFailure> {
-    let ticket = AttemptTicket::begin(gate, clock::now(), endpoint);
+    let ticket = AttemptTicket::begin(gate, clock::now(), endpoint, work_ms);
     let exchange = exchange(gate, call, &ticket.endpoint, model, resume_after);
     let (response, mut link) = match tokio::time::timeout(wait, exchange).await {
         Ok(outcome) => outcome?,
--- a/crates/entry/src/forward/intake.rs
+++ b/crates/entry/src/forward/intake.rs
@@ -16,6 +16,8 @@
 use super::call::ForwardGate;
 use super::dialect::{CallHead, CallRefusal};
 
+/// When callers come back that an entry which shuts down refuses.
+const LEAVING_RETRY_AFTER: Duration = Duration::from_millis(200);
 /// When callers come back that no entry could serve for want of a current state.
 const STALE_RETRY_AFTER: Duration = Duration::from_millis(400);
 
@@ -70,6 +72,12 @@
     let head = (gate.dialect.read_call)(&parts).map_err(|refusal| (refusal, None))?;
     let id = Some(head.id.clone());
     let refuse = |refusal| (refusal, id.clone());
+    if *gate.refusing.borrow() {
+        return Err(refuse(CallRefusal::NotRun {
+            reason: "this entry is shutting down",
+            retry_after: LEAVING_RETRY_AFTER,
+        }));
+    }
     let found = find_route(gate, came_at, &head, &parts).map_err(refuse)?;
     let limit = gate.book().declaration().limits.body_bytes;
     let body = read_body(body, limit).await.map_err(|error| {
--- a/crates/entry/src/forward/pipeline.rs
+++ b/crates/entry/src/forward/pipeline.rs
@@ -16,7 +16,7 @@
 use chestnutloft_wire::clock;
 use chestnutloft_wire::http::{AnyBody, full};
 
-use super::book::{ChosenEndpoint, NoEndpoint, PlaceRequest, prefix_key};
+use super::book::{ChosenEndpoint, NoEndpoint, PlaceRequest, PromptSize, prefix_key};
 use super::call::ForwardGate;
 use super::dialect::{CallRefusal, ModelWish};
 use super::exchange::{AttemptFailure, LiveAnswer, send_attempt};
@@ -152,21 +152,30 @@
             route: &self.call.route,
             service: &self.call.service,
             session: self.call.session_key(),
-            prefix: self.prefix(),
+            prompt: self.prompt(),
             tried: &self.tried,
         };
         self.gate.book().choose(now, &request)
     }
 
     /// The parts of the prompt that other calls share are all but the last.
-    fn prefix(&self) -> Option<(u64, f64)> {
-        let (_, shared) = self.call.head.prompt.split_last()?;
-        if shared.is_empty() {
-            return None;
-        }
+    fn prompt(&self) -> PromptSize {
+        let model = self.model();
+        let model = model.as_deref().unwrap_or(&self.call.route.name);
+        let kind = key_hash(model.as_bytes());
+        let Some((own, shared)) = self.call.head.prompt.split_last() else {
+            return PromptSize {
+                kind,
+                ..PromptSize::default()
+            };
+        };
         let ids: Vec<u64> = shared.iter().map(|part| part.id).collect();
-        let tokens = shared.iter().map(|part| f64::from(part.tokens)).sum();
-        Some((prefix_key(&ids, self.model().as_deref()), tokens))
+        PromptSize {
+            kind,
+            shared: (!ids.is_empty()).then(|| prefix_key(&ids, model)),
+            shared_tokens: shared.iter().map(|part| f64::from(part.tokens)).sum(),
+            own_tokens: f64::from(own.tokens),
+        }
     }
 
     /// Sends one attempt.
@@ -180,12 +189,15 @@
         self.tried.insert(Arc::clone(&id));
         self.runs += 1;
         let model = self.model();
+        let prompt = self.prompt();
+        let work_ms = self.gate.book().work_ms(&prompt);
         let sent = send_attempt(
             &self.gate,
             &self.call,
             endpoint.clone(),
             model.as_deref(),
             resume_after,
+            work_ms,
             wait,
         );
         let outcome = sent.await;
@@ -210,7 +222,12 @@
                 self.gate.book().note_down(now, &endpoint.id);
             }
             AttemptFailure::NotRun { .. } => {}
-            AttemptFailure::Broken(_) | AttemptFailure::Silent(_) => {
+            AttemptFailure::Broken(_) => self.note_bad_answer(now, endpoint),
+            AttemptFailure::Silent(wait) => {
+                let prompt = self.prompt();
+                let mut book = self.gate.book();
+                book.note_begun(now, &endpoint.id, &prompt, *wait, false);
+                drop(book);
                 self.note_bad_answer(now, endpoint);
             }
         }
@@ -232,6 +249,7 @@
         let took = now.since(ticket.began_at);
         let arm = self.arm();
         let mut book = self.gate.book();
+        book.note_begun(now, &ticket.endpoint.id, &self.prompt(), took, true);
         book.health
             .note_success(&ticket.endpoint.id, key_hash(arm.as_bytes()), took);
         let version = &ticket.endpoint.version;
--- a/crates/entry/src/forward/relay.rs
+++ b/crates/entry/src/forward/relay.rs
@@ -79,7 +79,8 @@
     fn into_response(mut self) -> Response<AnyBody> {
         let now = clock::now();
         let mut head = Response::new(());
-        if let Some(answer) = &self.answer {
+        if let Some(answer) = &mut self.answer {
+            answer.ticket.note_begun();
             self.run.note_good_answer(now, answer);
             self.run.log_answer(now, answer, 0);
             *head.status_mut() = answer.parts.status;
--- a/crates/entry/src/forward/settings.rs
+++ b/crates/entry/src/forward/settings.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, DurationSecondsWithFrac, serde_as};
 
+use chestnutloft_core::routing::{LadderSettings, PlacementSettings, PressureSettings};
 use chestnutloft_wire::settings::SettingsFinding;
 
 /// Limits that all entries keep together.
@@ -73,6 +74,12 @@
     pub log_level: String,
     /// Limits that all entries keep together.
     pub limits: SharedLimits,
+    /// Choice of endpoints.
+    pub placement: PlacementSettings,
+    /// How the waits at endpoints are judged.
+    pub pressure: PressureSettings,
+    /// Choice of models.
+    pub ladder: LadderSettings,
 }
 
 impl Default for ForwardSettings {
@@ -88,6 +95,9 @@
             cluster_secret: String::new(),
             log_level: "info".to_owned(),
             limits: SharedLimits::default(),
+            placement: PlacementSettings::default(),
+            pressure: PressureSettings::default(),
+            ladder: LadderSettings::default(),
         }
     }
 }
--- a/crates/keeper/src/actor.rs
+++ b/crates/keeper/src/actor.rs
@@ -378,8 +378,12 @@
         self.is_tick_due &= ready.committed.is_empty();
         self.is_routing_due &= ready.committed.is_empty();
         self.note_role(now);
-        if !ready.committed.is_empty() && self.core.is_serving(now) {
-            self.desk.answer_watches(now, &self.host.state().routing);
+        if !ready.committed.is_empty() || ready.restore.is_some() {
+            let routing = &self.host.state().routing;
+            self.desk.follow_rollouts(now, routing);
+            if self.core.is_serving(now) {
+                self.desk.answer_watches(now, routing);
+            }
         }
     }
 
--- a/crates/keeper/src/desk.rs
+++ b/crates/keeper/src/desk.rs
@@ -101,7 +101,35 @@
         self.led_since = now;
         self.heard.clear();
         self.entries.clear();
-        self.clocks.clear();
+    }
+
+    /// Follows the time of roll-outs, on every replica: a new leader goes on with it.
+    pub fn follow_rollouts(&mut self, now: TimePoint, state: &RoutingState) {
+        let running = state
+            .rollouts
+            .values()
+            .filter(|held| !held.stage.is_final());
+        let mut clocks = HashMap::new();
+        for held in running {
+            let key = (
+                Arc::clone(&held.order.service),
+                Arc::clone(&held.order.target),
+            );
+            let counted = now - Duration::from_millis(held.elapsed_ms);
+            let known = self.clocks.get(&key).copied().unwrap_or(RolloutClock {
+                started_at: counted,
+                recorded_at: now,
+            });
+            let started_at = known.started_at.min(counted);
+            clocks.insert(
+                key,
+                RolloutClock {
+                    started_at,
+                    ..known
+                },
+            );
+        }
+        self.clocks = clocks;
     }
 
     /// This keeper leads no more.
@@ -244,10 +272,9 @@
         {
             let order = &held.order;
             let key = (Arc::clone(&order.service), Arc::clone(&order.target));
-            let clock = self.clocks.entry(key).or_insert_with(|| RolloutClock {
-                started_at: now - Duration::from_millis(held.elapsed_ms),
-                recorded_at: now,
-            });
+            let Some(clock) = self.clocks.get_mut(&key) else {
+                continue;
+            };
             let elapsed = now.since(clock.started_at);
             let elapsed_ms = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX);
             let mut book = VerdictBook::new(VerdictSettings::default());
