--- a/crates/core/src/consensus/election.rs
+++ b/crates/core/src/consensus/election.rs
@@ -217,7 +217,7 @@
         let followers = self
             .config
             .others(self.id)
-            .map(|id| (id, FollowerState::new(next)))
+            .map(|id| (id, FollowerState::new(now, next)))
             .collect();
         self.role = ReplicaRole::Leader(LeaderState {
             followers,
@@ -230,8 +230,9 @@
 }
 
 impl FollowerState {
-    pub(super) fn new(next: LogIndex) -> Self {
+    pub(super) fn new(now: TimePoint, next: LogIndex) -> Self {
         Self {
+            tracked_since: now,
             next,
             matched: 0,
             answered: None,
--- a/crates/core/src/consensus/lease.rs
+++ b/crates/core/src/consensus/lease.rs
@@ -1,7 +1,9 @@
 //! The leader's lease: while it runs, no other replica can be elected.
 
+use std::time::Duration;
+
 use super::message::ReplicaId;
-use super::replica::{ReplicaCore, ReplicaRole};
+use super::replica::{FollowerState, ReplicaCore, ReplicaRole};
 use crate::time::TimePoint;
 
 impl ReplicaCore {
@@ -72,4 +74,18 @@
             .map(|(id, follower)| (*id, follower.matched, follower.answered))
             .collect()
     }
+
+    /// Members that this leader has not heard for `silence`, counted from when it began to send
+    /// to them.
+    pub fn silent_members(&self, now: TimePoint, silence: Duration) -> Vec<ReplicaId> {
+        let ReplicaRole::Leader(state) = &self.role else {
+            return Vec::new();
+        };
+        let is_silent = |follower: &FollowerState| {
+            let heard_at = follower.answered.unwrap_or(follower.tracked_since);
+            now.since(heard_at.max(follower.tracked_since)) >= silence
+        };
+        let silent = state.followers.iter().filter(|(_, f)| is_silent(f));
+        silent.map(|(id, _)| *id).collect()
+    }
 }
--- a/crates/core/src/consensus/replica.rs
+++ b/crates/core/src/consensus/replica.rs
@@ -49,6 +49,8 @@
 /// What a leader knows of one follower.
 #[derive(Clone, Debug)]
 pub struct FollowerState {
+    /// When this leader began to send to it.
+    pub(super) tracked_since: TimePoint,
     pub(super) next: LogIndex,
     pub(super) matched: LogIndex,
     /// Send time of the newest message that the follower has answered.
--- a/crates/core/src/consensus/replication.rs
+++ b/crates/core/src/consensus/replication.rs
@@ -69,13 +69,13 @@
         });
         if is_config {
             self.refresh_config();
-            self.track_members();
+            self.track_members(now);
         }
         self.replicate(now, false);
         index
     }
 
-    fn track_members(&mut self) {
+    fn track_members(&mut self, now: TimePoint) {
         let next = self.log.last_index() + 1;
         let members: Vec<ReplicaId> = self.config.others(self.id).collect();
         let ReplicaRole::Leader(state) = &mut self.role else {
@@ -85,7 +85,7 @@
             state
                 .followers
                 .entry(id)
-                .or_insert_with(|| FollowerState::new(next));
+                .or_insert_with(|| FollowerState::new(now, next));
         }
         let config = &self.config;
         state
--- a/crates/keeper/src/formation.rs
+++ b/crates/keeper/src/formation.rs
@@ -148,26 +148,15 @@
 /// it may only be cut off.
 fn due_replacement(now: TimePoint, core: &ReplicaCore) -> Option<MemberChange> {
     core.caught_up_learner(now)?;
-    silent_members(now, core, REPLACE_AFTER)
+    core.silent_members(now, REPLACE_AFTER)
+        .into_iter()
         .find(|id| core.config().is_voter(*id))
         .map(MemberChange::Remove)
 }
 
 fn due_removal(now: TimePoint, core: &ReplicaCore) -> Option<MemberChange> {
-    silent_members(now, core, LEARNER_SILENCE)
+    core.silent_members(now, LEARNER_SILENCE)
+        .into_iter()
         .find(|id| !core.config().is_voter(*id))
         .map(MemberChange::Remove)
 }
-
-fn silent_members(
-    now: TimePoint,
-    core: &ReplicaCore,
-    silence: Duration,
-) -> impl Iterator<Item = ReplicaId> {
-    // What this leader has not heard since its election says nothing yet.
-    let since = core.elected_at().unwrap_or(now);
-    core.follower_progress()
-        .into_iter()
-        .filter(move |(_, _, answered)| now.since(answered.unwrap_or(since).max(since)) >= silence)
-        .map(|(id, _, _)| id)
-}
