Hold calls at an entry that has just started; lower the ladder's bar by the wait at the pool

Change: such calls wait for the first declaration, at most 2.5 s; elections take 250 to 450 ms; the bar for larger models falls with the wait seen at the pool instead of the share of slots.

--- a/crates/core/src/routing/ladder.rs
+++ b/crates/core/src/routing/ladder.rs
@@ -13,10 +13,11 @@
     pub bar: f64,
     /// Share of the aim after which no larger model is asked any more: its answer would be late.
     pub latest_share: f64,
-    /// Load of the pool, as a share of its slots, from which on the bar is lowered.
-    pub busy_load: f64,
-    /// Load at which no larger model is asked any more.
-    pub full_load: f64,
+    /// Wait at the pool, as a share of the aim, from which on the bar is lowered: a larger model
+    /// takes several times the work, and those who wait behind it pay for it.
+    pub busy_share: f64,
+    /// Wait at which no larger model is asked any more.
+    pub full_share: f64,
 }
 
 impl Default for LadderSettings {
@@ -24,8 +25,8 @@
         Self {
             bar: 58.0,
             latest_share: 0.6,
-            busy_load: 0.7,
-            full_load: 1.2,
+            busy_share: 0.2,
+            full_share: 0.9,
         }
     }
 }
@@ -51,33 +52,33 @@
     /// Rung to ask next, where the answer of `rung` with `confidence` is not good enough.
     ///
     /// `waited` is the time since the call came, `aim` the time within which its answer should
-    /// begin, `load` the running and waiting calls of the pool against its slots.
+    /// begin, `pool_wait` the time that calls wait at the pool before they are read.
     pub fn next(
         &self,
         rung: usize,
         confidence: Option<f64>,
         waited: Duration,
         aim: Duration,
-        load: f64,
+        pool_wait: Duration,
     ) -> Option<usize> {
         let confidence = confidence?;
         let top = self.rungs.checked_sub(1)?;
         let is_late = waited > aim.mul_f64(self.settings.latest_share);
-        if rung >= top || is_late || confidence >= self.bar(load) {
+        if rung >= top || is_late || confidence >= self.bar(pool_wait, aim) {
             return None;
         }
         Some(top)
     }
 
-    /// The bar under `load`: full up to `busy_load`, nothing from `full_load` on.
-    fn bar(&self, load: f64) -> f64 {
+    /// The bar: full while the pool is calm, nothing where calls wait as long as they may.
+    fn bar(&self, pool_wait: Duration, aim: Duration) -> f64 {
         let LadderSettings {
             bar,
-            busy_load,
-            full_load,
+            busy_share,
+            full_share,
             ..
         } = self.settings;
-        let share = (full_load - load) / (full_load - busy_load);
-        bar * share.clamp(0.0, 1.0)
+        let share = pool_wait.as_secs_f64() / aim.as_secs_f64().max(0.001);
+        bar * ((full_share - share) / (full_share - busy_share)).clamp(0.0, 1.0)
     }
 }
--- a/crates/entry/src/forward/book.rs
+++ b/crates/entry/src/forward/book.rs
@@ -337,17 +337,17 @@
         self.repeats.take(now, service, self.entries.len())
     }
 
-    /// Running and waiting calls of a service against its slots.
-    pub fn pool_load(&self, now: TimePoint, service: &str) -> f64 {
-        let (load, slots) = self
+    /// Time that calls wait at the endpoints of a service before they are read, on average.
+    pub fn pool_wait(&self, now: TimePoint, service: &str) -> Duration {
+        let able = self
             .endpoints
             .values()
-            .filter(|endpoint| *endpoint.notice.service == *service && self.takes_work(endpoint))
-            .fold((0.0, 0.0), |(load, slots), endpoint| {
-                let own_slots = f64::from(endpoint.notice.slots);
-                (load + endpoint.load(now), slots + own_slots)
-            });
-        if slots < 1.0 { 1.0 } else { load / slots }
+            .filter(|endpoint| *endpoint.notice.service == *service && self.takes_work(endpoint));
+        let (wait_ms, count) = able.fold((0.0, 0.0), |(wait_ms, count), endpoint| {
+            let own = self.pressure.wait_ms(now, &endpoint.notice.id);
+            (wait_ms + own, count + 1.0)
+        });
+        Duration::from_secs_f64(wait_ms / f64::max(count, 1.0) / 1_000.0)
     }
 
     fn takes_work(&self, endpoint: &BookEndpoint) -> bool {
--- a/crates/entry/src/forward/call.rs
+++ b/crates/entry/src/forward/call.rs
@@ -24,6 +24,8 @@
     pub leaving: watch::Receiver<bool>,
     /// Whether it refuses new calls for that reason.
     pub refusing: watch::Receiver<bool>,
+    /// Set once the entry knows a declaration.
+    pub informed: watch::Sender<bool>,
     book: Mutex<EntryBook>,
 }
 
@@ -43,6 +45,7 @@
             links: LinkPool::default(),
             leaving,
             refusing,
+            informed: watch::Sender::new(false),
             book: Mutex::new(book),
         }
     }
--- a/crates/entry/src/forward/intake.rs
+++ b/crates/entry/src/forward/intake.rs
@@ -16,6 +16,10 @@
 use super::call::ForwardGate;
 use super::dialect::{CallHead, CallRefusal};
 
+/// Share of a caller's patience for which its call waits at an entry that has just started.
+const START_SHARE: f64 = 0.6;
+/// Longest such wait: a little more than the keepers need to elect a leader.
+const MAX_START_WAIT: Duration = Duration::from_millis(2_500);
 /// When callers come back that an entry which shuts down refuses.
 const LEAVING_RETRY_AFTER: Duration = Duration::from_millis(200);
 /// When callers come back that no entry could serve for want of a current state.
@@ -78,6 +82,7 @@
             retry_after: LEAVING_RETRY_AFTER,
         }));
     }
+    wait_for_state(gate, &head).await;
     let found = find_route(gate, came_at, &head, &parts).map_err(refuse)?;
     let limit = gate.book().declaration().limits.body_bytes;
     let body = read_body(body, limit).await.map_err(|error| {
@@ -101,6 +106,21 @@
     })
 }
 
+/// An entry that has just started hears from the keepers within a second or two: callers who
+/// come meanwhile are better served late than refused.
+async fn wait_for_state(gate: &ForwardGate, head: &CallHead) {
+    let mut informed = gate.informed.subscribe();
+    if *informed.borrow_and_update() {
+        return;
+    }
+    let patience = head
+        .patience
+        .map_or(MAX_START_WAIT, |patience| patience.mul_f64(START_SHARE));
+    let wait = informed.wait_for(|is_informed| *is_informed);
+    // Past the wait, the call is refused for want of a declaration.
+    let _ = tokio::time::timeout(patience.min(MAX_START_WAIT), wait).await;
+}
+
 type FoundRoute = (Arc<RouteRule>, Arc<ServiceRule>, Option<Arc<WorkspaceRule>>);
 
 fn find_route(
--- a/crates/entry/src/forward/pipeline.rs
+++ b/crates/entry/src/forward/pipeline.rs
@@ -328,10 +328,10 @@
         let now = clock::now();
         let rungs = self.call.route.models.len();
         let ladder = ModelLadder::new(self.gate.ladder.clone(), rungs);
-        let load = self.gate.book().pool_load(now, &self.call.service.name);
+        let wait = self.gate.book().pool_wait(now, &self.call.service.name);
         let waited = now.since(self.call.came_at);
         let confidence = answer.head.confidence;
-        let next = ladder.next(self.rung, confidence, waited, self.call.aim(), load);
+        let next = ladder.next(self.rung, confidence, waited, self.call.aim(), wait);
         let Some(next) = next else { return false };
         if self.runs >= self.call.route.max_attempts
             || !self.gate.book().take_repeat(now, &self.call.service.name)
@@ -339,10 +339,11 @@
             return false;
         }
         spdlog::info!(
-            "call {}: confidence {:?} on rung {} is low; rung {next} is asked at load {load:.2}.",
+            "call {}: confidence {:?} on rung {} is low; rung {next} is asked, with a wait of {} ms at the pool.",
             self.call.head.id,
             confidence,
-            self.rung
+            self.rung,
+            wait.as_millis()
         );
         self.note_good_answer(now, answer);
         self.rung = next;
--- a/crates/entry/src/forward/watch.rs
+++ b/crates/entry/src/forward/watch.rs
@@ -147,6 +147,11 @@
     ) {
         let mut book = self.gate.book();
         book.apply(now, asked_at, update);
+        if book.is_ready(now) {
+            self.gate
+                .informed
+                .send_if_modified(|is_informed| !std::mem::replace(is_informed, true));
+        }
         if let Some(peers) = peers {
             let mut entries = peers.entries.clone();
             if !entries.contains(&self.gate.name) {
