--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -23,7 +23,7 @@
     DirectoryChange, EndpointDirectory, EndpointNotice, EndpointPhase, NoticeOutcome, PoolEndpoint,
 };
 pub use health::{HealthSettings, PoolHealth};
-pub use ladder::{LadderSettings, ModelLadder};
+pub use ladder::{LadderSettings, ModelLadder, PoolPressure};
 pub use placement::{EndpointSeat, PlacementSettings, PlacementWish, choose_seat};
 pub use pressure::{PressureBook, PressureSettings, WorkEstimate};
 pub use rollout::{RolloutOrder, RolloutStage, RolloutState, RolloutTiming};
--- a/crates/core/tests/routing/ladder.rs
+++ b/crates/core/tests/routing/ladder.rs
@@ -1,10 +1,13 @@
 use std::time::Duration;
 
-use chestnutloft_core::routing::{LadderSettings, ModelLadder};
+use chestnutloft_core::routing::{LadderSettings, ModelLadder, PoolPressure};
 
 const AIM: Duration = Duration::from_secs(2);
 const EARLY: Duration = Duration::from_millis(100);
-const CALM: Duration = Duration::from_millis(20);
+const CALM: PoolPressure = PoolPressure {
+    wait: Duration::from_millis(20),
+    load: 0.1,
+};
 
 fn ladder(rungs: usize) -> ModelLadder {
     ModelLadder::new(LadderSettings::default(), rungs)
@@ -34,19 +37,32 @@
     assert_eq!(ladder(3).next(0, None, EARLY, AIM, CALM), None);
 }
 
+fn climbs(pool: PoolPressure) -> usize {
+    (0..100)
+        .filter(|confidence| {
+            let confidence = Some(f64::from(*confidence));
+            ladder(3).next(0, confidence, EARLY, AIM, pool).is_some()
+        })
+        .count()
+}
+
 #[test]
 fn waits_at_the_pool_lower_the_bar() {
-    let climbs = |wait_ms| {
-        (0..100)
-            .filter(|confidence| {
-                let confidence = Some(f64::from(*confidence));
-                let wait = Duration::from_millis(wait_ms);
-                ladder(3).next(0, confidence, EARLY, AIM, wait).is_some()
-            })
-            .count()
+    let waiting = |millis| PoolPressure {
+        wait: Duration::from_millis(millis),
+        ..CALM
     };
 
-    assert!(climbs(20) > climbs(1_000));
-    assert!(climbs(1_000) > climbs(1_600));
-    assert_eq!(climbs(1_900), 0);
+    assert!(climbs(CALM) > climbs(waiting(1_000)));
+    assert!(climbs(waiting(1_000)) > climbs(waiting(1_600)));
+    assert_eq!(climbs(waiting(1_900)), 0);
+}
+
+#[test]
+fn load_of_the_pool_lowers_the_bar() {
+    let loaded = |load| PoolPressure { load, ..CALM };
+
+    assert!(climbs(CALM) > climbs(loaded(0.6)));
+    assert!(climbs(loaded(0.6)) > climbs(loaded(0.9)));
+    assert_eq!(climbs(loaded(1.1)), 0);
 }
--- a/crates/entry/src/forward/book.rs
+++ b/crates/entry/src/forward/book.rs
@@ -7,9 +7,9 @@
 use chestnutloft_core::hash::key_hash;
 use chestnutloft_core::routing::{
     ArmCount, ArmKey, ColdAllowance, EndpointNotice, EndpointPhase, EndpointSeat, HealthSettings,
-    PlacementSettings, PlacementWish, PoolHealth, PressureBook, RepeatBudget, RepeatSettings,
-    RolloutStage, RolloutState, RouteDeclaration, RouteRule, RouteTable, RoutingRevision,
-    RoutingUpdate, ServiceRule, SessionVersions, WorkEstimate, choose_seat,
+    PlacementSettings, PlacementWish, PoolHealth, PoolPressure, PressureBook, RepeatBudget,
+    RepeatSettings, RolloutStage, RolloutState, RouteDeclaration, RouteRule, RouteTable,
+    RoutingRevision, RoutingUpdate, ServiceRule, SessionVersions, WorkEstimate, choose_seat,
 };
 use chestnutloft_core::time::TimePoint;
 
@@ -337,17 +337,23 @@
         self.repeats.take(now, service, self.entries.len())
     }
 
-    /// Time that calls wait at the endpoints of a service before they are read, on average.
-    pub fn pool_wait(&self, now: TimePoint, service: &str) -> Duration {
+    /// How busy the endpoints of a service are.
+    pub fn pool_pressure(&self, now: TimePoint, service: &str) -> PoolPressure {
         let able = self
             .endpoints
             .values()
             .filter(|endpoint| *endpoint.notice.service == *service && self.takes_work(endpoint));
-        let (wait_ms, count) = able.fold((0.0, 0.0), |(wait_ms, count), endpoint| {
-            let own = self.pressure.wait_ms(now, &endpoint.notice.id);
-            (wait_ms + own, count + 1.0)
-        });
-        Duration::from_secs_f64(wait_ms / f64::max(count, 1.0) / 1_000.0)
+        let (mut wait_ms, mut load, mut slots, mut count) = (0.0, 0.0, 0.0, 0.0);
+        for endpoint in able {
+            wait_ms += self.pressure.wait_ms(now, &endpoint.notice.id);
+            load += endpoint.load(now);
+            slots += f64::from(endpoint.notice.slots);
+            count += 1.0;
+        }
+        PoolPressure {
+            wait: Duration::from_secs_f64(wait_ms / f64::max(count, 1.0) / 1_000.0),
+            load: load / f64::max(slots, 1.0),
+        }
     }
 
     fn takes_work(&self, endpoint: &BookEndpoint) -> bool {
--- a/crates/entry/src/forward/pipeline.rs
+++ b/crates/entry/src/forward/pipeline.rs
@@ -328,10 +328,10 @@
         let now = clock::now();
         let rungs = self.call.route.models.len();
         let ladder = ModelLadder::new(self.gate.ladder.clone(), rungs);
-        let wait = self.gate.book().pool_wait(now, &self.call.service.name);
+        let pool = self.gate.book().pool_pressure(now, &self.call.service.name);
         let waited = now.since(self.call.came_at);
         let confidence = answer.head.confidence;
-        let next = ladder.next(self.rung, confidence, waited, self.call.aim(), wait);
+        let next = ladder.next(self.rung, confidence, waited, self.call.aim(), pool);
         let Some(next) = next else { return false };
         if self.runs >= self.call.route.max_attempts
             || !self.gate.book().take_repeat(now, &self.call.service.name)
@@ -339,11 +339,12 @@
             return false;
         }
         spdlog::info!(
-            "call {}: confidence {:?} on rung {} is low; rung {next} is asked, with a wait of {} ms at the pool.",
+            "call {}: confidence {:?} on rung {} is low; rung {next} is asked, with a wait of {} ms at the pool and load {:.2}.",
             self.call.head.id,
             confidence,
             self.rung,
-            wait.as_millis()
+            pool.wait.as_millis(),
+            pool.load
         );
         self.note_good_answer(now, answer);
         self.rung = next;
