Begin a silent stream elsewhere by what is usual, not by the aim alone

Cause: calls to endpoints that went dark waited 0.9 of the aim, up to 3.6 s, though answers begin within half a second (docs/operations/failed-requests.md shows one). Change: the limit is four times the time expected plus 0.7 s, at most as before.

--- a/crates/entry/src/forward/book.rs
+++ b/crates/entry/src/forward/book.rs
@@ -440,6 +440,12 @@
         self.read_ms(prompt.kind, prompt.shared_tokens + prompt.own_tokens)
     }
 
+    /// Time after which a call sent to `id` now is expected to begin to answer.
+    pub fn expected(&self, now: TimePoint, id: &str, prompt: &PromptSize) -> Duration {
+        let expected_ms = self.pressure.wait_ms(now, id) + self.work_ms(prompt);
+        Duration::from_secs_f64(expected_ms / 1_000.0)
+    }
+
     /// Notes that a call sent to `id` has begun to answer after `took`, or was given up then.
     pub fn note_begun(
         &mut self,
--- a/crates/entry/src/forward/pipeline.rs
+++ b/crates/entry/src/forward/pipeline.rs
@@ -33,8 +33,10 @@
 const SILENCE_FACTOR: f64 = 2.5;
 /// Share of the aim after which a stream without its first event is begun elsewhere.
 const STREAM_SILENCE_SHARE: f64 = 0.9;
-/// Shortest silence after which a stream is begun elsewhere.
-const MIN_STREAM_SILENCE: Duration = Duration::from_millis(1_500);
+/// Multiple of the time expected after which a stream is begun elsewhere.
+const STREAM_SILENCE_FACTOR: f64 = 4.0;
+/// Silence allowed on top: a spurious second attempt costs an endpoint a whole prompt.
+const STREAM_SILENCE_MARGIN: Duration = Duration::from_millis(700);
 /// Attempts beyond the route's limit that endpoints may reject without running them.
 const REJECTED_ATTEMPTS: u32 = 2;
 /// Shortest time after which a refused caller comes back.
@@ -184,7 +186,9 @@
         endpoint: ChosenEndpoint,
         resume_after: Option<u64>,
     ) -> Result<LiveAnswer, AttemptFailure> {
-        let wait = self.answer_wait(clock::now());
+        let now = clock::now();
+        let expected = self.gate.book().expected(now, &endpoint.id, &self.prompt());
+        let wait = self.answer_wait(now, expected);
         let id = Arc::clone(&endpoint.id);
         self.tried.insert(Arc::clone(&id));
         self.runs += 1;
@@ -266,15 +270,17 @@
         )
     }
 
-    /// How long an attempt may stay silent.
-    pub fn answer_wait(&self, now: TimePoint) -> Duration {
+    /// How long an attempt may stay silent that is `expected` to begin to answer after a while.
+    pub fn answer_wait(&self, now: TimePoint, expected: Duration) -> Duration {
         let left = self.call.left(now);
         let is_last = self.runs + 1 >= self.call.route.max_attempts;
         let aim = self.call.aim();
         match self.call.route.kind {
             CallKind::Idempotent if !is_last => left.min(aim.mul_f64(SILENCE_FACTOR)),
             CallKind::Stream { is_resumable: true } if !is_last => {
-                left.min(aim.mul_f64(STREAM_SILENCE_SHARE).max(MIN_STREAM_SILENCE))
+                let longest = aim.mul_f64(STREAM_SILENCE_SHARE);
+                let usual = expected.mul_f64(STREAM_SILENCE_FACTOR) + STREAM_SILENCE_MARGIN;
+                left.min(longest.min(usual).max(STREAM_SILENCE_MARGIN))
             }
             _ => left,
         }
@@ -357,7 +363,7 @@
         mut answer: LiveAnswer,
         kept: &mut Option<Response<AnyBody>>,
     ) -> AnswerVerdict {
-        let wait = self.answer_wait(clock::now());
+        let wait = self.answer_wait(clock::now(), Duration::ZERO);
         let endpoint = answer.ticket.endpoint.clone();
         let body = match tokio::time::timeout(wait, read_whole(&mut answer.body)).await {
             Ok(Ok(body)) => body,
--- a/crates/entry/src/forward/relay.rs
+++ b/crates/entry/src/forward/relay.rs
@@ -60,7 +60,8 @@
             events: 0,
             is_over: false,
         };
-        match relay.step(relay.first_wait()).await {
+        let wait = relay.pause();
+        match relay.step(wait).await {
             StreamStep::Events(events) => relay.first = Some(events),
             StreamStep::End => relay.first = Some(Bytes::new()),
             StreamStep::Cut(failure) => {
@@ -72,10 +73,6 @@
         Ok(relay.into_response())
     }
 
-    fn first_wait(&self) -> Duration {
-        self.run.answer_wait(clock::now())
-    }
-
     fn into_response(mut self) -> Response<AnyBody> {
         let now = clock::now();
         let mut head = Response::new(());
