--- a/crates/core/src/routing/health.rs
+++ b/crates/core/src/routing/health.rs
@@ -31,7 +31,7 @@
             memory: 10.0,
             min_calls: 3.0,
             excess: 0.25,
-            stay: Duration::from_millis(2_000),
+            stay: Duration::from_secs(2),
             longest_stay: Duration::from_secs(8),
             down_stay: Duration::from_millis(700),
             ejected_share: 0.4,
--- a/crates/entry/src/forward/book.rs
+++ b/crates/entry/src/forward/book.rs
@@ -254,27 +254,24 @@
             }
             return;
         }
-        match known {
-            Some(known) => {
-                if known.notice.born_ms != notice.born_ms {
-                    self.health.forget(&notice.id);
-                    known.report = None;
-                    known.is_misdirected = false;
-                }
-                known.notice = notice;
-                known.cold_until = cold_until;
-            }
-            None => {
-                let endpoint = BookEndpoint {
-                    notice,
-                    cold_until,
-                    in_flight: 0,
-                    report: None,
-                    is_misdirected: false,
-                };
-                let id = Arc::clone(&endpoint.notice.id);
-                self.endpoints.insert(id, endpoint);
+        if let Some(known) = known {
+            if known.notice.born_ms != notice.born_ms {
+                self.health.forget(&notice.id);
+                known.report = None;
+                known.is_misdirected = false;
             }
+            known.notice = notice;
+            known.cold_until = cold_until;
+        } else {
+            let endpoint = BookEndpoint {
+                notice,
+                cold_until,
+                in_flight: 0,
+                report: None,
+                is_misdirected: false,
+            };
+            let id = Arc::clone(&endpoint.notice.id);
+            self.endpoints.insert(id, endpoint);
         }
     }
 
@@ -398,7 +395,7 @@
         if warm.is_empty() {
             return Err(NoEndpoint::AllCold);
         }
-        let fit = self.fittest(now, warm, request.tried);
+        let fit = self.fittest(now, &warm, request.tried);
         let seats: Vec<EndpointSeat<'_>> = fit
             .iter()
             .map(|endpoint| self.seat(now, endpoint))
@@ -467,14 +464,14 @@
     fn fittest<'a>(
         &self,
         now: TimePoint,
-        endpoints: Vec<&'a BookEndpoint>,
+        endpoints: &[&'a BookEndpoint],
         tried: &BTreeSet<Arc<str>>,
     ) -> Vec<&'a BookEndpoint> {
         let narrowed = |from: &[&'a BookEndpoint], keep: &dyn Fn(&BookEndpoint) -> bool| {
             let kept: Vec<_> = from.iter().copied().filter(|e| keep(e)).collect();
             if kept.is_empty() { from.to_vec() } else { kept }
         };
-        let untried = narrowed(&endpoints, &|e| !tried.contains(&e.notice.id));
+        let untried = narrowed(endpoints, &|e| !tried.contains(&e.notice.id));
         narrowed(&untried, &|e| !self.health.is_out(now, &e.notice.id))
     }
 
--- a/crates/entry/src/forward/dialect.rs
+++ b/crates/entry/src/forward/dialect.rs
@@ -76,6 +76,33 @@
     pub waiting: u32,
 }
 
+/// What an endpoint's answer says of the call.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum CallFate {
+    /// It has run, or may have.
+    #[default]
+    MayHaveRun,
+    /// It has not run and will not.
+    NotRun,
+    /// It has not run: the address belongs to another endpoint.
+    Misdirected,
+}
+
+/// What becomes of a connection after an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LinkFate {
+    /// The endpoint closes it.
+    Closes,
+    /// The endpoint keeps it, for this long where it says so.
+    Stays(Option<Duration>),
+}
+
+impl Default for LinkFate {
+    fn default() -> Self {
+        Self::Stays(None)
+    }
+}
+
 /// Head of an endpoint's answer.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct AnswerHead {
@@ -83,20 +110,16 @@
     pub is_own: bool,
     /// Whether it carries the endpoint's signature.
     pub is_signed: bool,
-    /// Whether it says that the call has not run.
-    pub has_not_run: bool,
-    /// Whether the address belongs to another endpoint.
-    pub is_misdirected: bool,
+    /// What became of the call.
+    pub fate: CallFate,
     /// Whether the body is encoded, which callers do not ask for.
     pub is_encoded: bool,
     /// How sure the model is of its answer, 0 to 100.
     pub confidence: Option<f64>,
     /// Load.
     pub load: Option<ReportedLoad>,
-    /// How long the endpoint keeps an idle connection.
-    pub keep_alive: Option<Duration>,
-    /// Whether the endpoint closes the connection after the answer.
-    pub is_closing: bool,
+    /// What becomes of the connection.
+    pub link: LinkFate,
 }
 
 /// Why a call gets no endpoint's answer.
--- a/crates/entry/src/forward/exchange.rs
+++ b/crates/entry/src/forward/exchange.rs
@@ -15,7 +15,7 @@
 
 use super::book::ChosenEndpoint;
 use super::call::ForwardGate;
-use super::dialect::{AnswerHead, AttemptHead};
+use super::dialect::{AnswerHead, AttemptHead, CallFate, LinkFate};
 use super::intake::InboundCall;
 use super::links::{EndpointLink, LinkError};
 
@@ -23,7 +23,7 @@
 /// reset on an old connection cannot be told from a lost answer.
 const NON_IDEMPOTENT_IDLE: Duration = Duration::from_millis(1_500);
 /// Idle time of a connection after which it is not used for other calls.
-const IDEMPOTENT_IDLE: Duration = Duration::from_secs(60);
+const IDEMPOTENT_IDLE: Duration = Duration::from_mins(1);
 
 /// Why an attempt brought no answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -105,7 +105,7 @@
         let Self {
             head, ticket, link, ..
         } = self;
-        if !head.is_closing {
+        if head.link != LinkFate::Closes {
             let address = &ticket.endpoint.address;
             ticket.gate.links.put(now, address, link);
         }
@@ -133,7 +133,9 @@
     };
     let (parts, body) = response.into_parts();
     let head = (gate.dialect.read_answer)(&parts, &call.head.id);
-    link.note_keep_alive(head.keep_alive);
+    if let LinkFate::Stays(Some(limit)) = head.link {
+        link.note_keep_alive(limit);
+    }
     let answer = LiveAnswer {
         parts,
         head,
@@ -148,8 +150,8 @@
     let head = &answer.head;
     let id = &answer.ticket.endpoint.id;
     let now = clock::now();
-    if head.has_not_run || head.is_misdirected {
-        let is_misdirected = head.is_misdirected;
+    if head.fate != CallFate::MayHaveRun {
+        let is_misdirected = head.fate == CallFate::Misdirected;
         let mut book = gate.book();
         if is_misdirected {
             book.note_misdirected(id);
--- a/crates/entry/src/forward/links.rs
+++ b/crates/entry/src/forward/links.rs
@@ -94,10 +94,8 @@
     }
 
     /// Notes how long the endpoint keeps an idle connection.
-    pub fn note_keep_alive(&mut self, keep_alive: Option<Duration>) {
-        if let Some(limit) = keep_alive {
-            self.idle_limit = limit.mul_f64(IDLE_SHARE);
-        }
+    pub fn note_keep_alive(&mut self, limit: Duration) {
+        self.idle_limit = limit.mul_f64(IDLE_SHARE);
     }
 
     fn is_usable(&self, now: TimePoint, longest_idle: Duration) -> bool {
--- a/crates/entry/src/forward/watch.rs
+++ b/crates/entry/src/forward/watch.rs
@@ -15,7 +15,7 @@
 use super::settings::ForwardSettings;
 
 /// Time for one call: the keeper's longest wait and a second for the way.
-const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 /// Wait after a call without an answer.
 const RETRY_WAIT: Duration = Duration::from_millis(60);
 
@@ -84,7 +84,7 @@
     /// Asks another keeper next time. The seeds may have been exchanged once all have been asked.
     fn turn(&mut self) {
         self.turn += 1;
-        if self.turn % self.keepers().count() == 0 {
+        if self.turn.is_multiple_of(self.keepers().count()) {
             self.seeds.refresh();
         }
     }
@@ -111,7 +111,7 @@
             Ok(WatchReply::Current { update, peers }) => {
                 self.target = Some(target);
                 self.note_touch(now, true, "");
-                self.take(now, asked_at, update, peers);
+                self.take(now, asked_at, *update, peers);
             }
             Ok(WatchReply::NotLeader(hint)) => {
                 // A hint at the keeper that has just failed to answer helps nobody.
--- a/crates/keeper/src/actor.rs
+++ b/crates/keeper/src/actor.rs
@@ -435,7 +435,8 @@
         let applied = self.core.applied();
         let has_many = applied >= self.core.snapshot_index() + self.settings.snapshot_entries;
         let has_grown = self.journal_bytes >= self.settings.snapshot_bytes;
-        if !has_many && !(has_grown && applied > self.core.snapshot_index()) {
+        let is_due = has_many || (has_grown && applied > self.core.snapshot_index());
+        if !is_due {
             return;
         }
         let data: Arc<[u8]> = self.host.encode();
--- a/crates/keeper/src/daemon.rs
+++ b/crates/keeper/src/daemon.rs
@@ -174,31 +174,28 @@
             .await
             .map_err(io_at("http"))?;
         let http = listener.local_addr().map_err(io_at("http"))?;
-        let door = match joining {
-            Some((dialect, seeds)) => {
-                tokio::spawn(ask_to_join(
-                    replica.clone(),
-                    caller,
-                    settings.clone(),
-                    seeds,
-                ));
-                let desk = ControlDesk {
-                    replica: replica.clone(),
-                    address: http,
-                    dialect,
-                };
-                let service = move |request| desk.clone().answer(request);
-                tokio::spawn(http::serve(listener, stopped, SHUTDOWN_PATIENCE, service))
-            }
-            None => {
-                let door = OperatorDoor {
-                    replica: replica.clone(),
-                    key_hashes: settings.operator_key_hashes.clone().into(),
-                    metrics: KeeperMetrics::default(),
-                };
-                let service = move |request| door.clone().answer(request);
-                tokio::spawn(http::serve(listener, stopped, SHUTDOWN_PATIENCE, service))
-            }
+        let door = if let Some((dialect, seeds)) = joining {
+            tokio::spawn(ask_to_join(
+                replica.clone(),
+                caller,
+                settings.clone(),
+                seeds,
+            ));
+            let desk = ControlDesk {
+                replica: replica.clone(),
+                address: http,
+                dialect,
+            };
+            let service = move |request| desk.clone().answer(request);
+            tokio::spawn(http::serve(listener, stopped, SHUTDOWN_PATIENCE, service))
+        } else {
+            let door = OperatorDoor {
+                replica: replica.clone(),
+                key_hashes: settings.operator_key_hashes.clone().into(),
+                metrics: KeeperMetrics::default(),
+            };
+            let service = move |request| door.clone().answer(request);
+            tokio::spawn(http::serve(listener, stopped, SHUTDOWN_PATIENCE, service))
         };
         spdlog::info!(
             "keeper: replica {} serves RPC at {rpc}, operators at {http}.",
--- a/crates/keeper/src/desk.rs
+++ b/crates/keeper/src/desk.rs
@@ -44,7 +44,7 @@
 }
 
 /// Time between two records of a roll-out's progress.
-const PROGRESS_INTERVAL: Duration = Duration::from_millis(1_000);
+const PROGRESS_INTERVAL: Duration = Duration::from_secs(1);
 
 #[derive(Clone, Copy, Debug)]
 struct HeardEndpoint {
@@ -209,7 +209,7 @@
                 state.update_from(watch.call.known, |endpoint| self.describe(now, endpoint));
             let has_peers = watch.call.peers_hash == peers_hash;
             let reply = WatchReply::Current {
-                update,
+                update: Box::new(update),
                 peers: (!has_peers).then(|| peers.clone()),
             };
             // An entry that has given up waiting asks again.
@@ -281,7 +281,7 @@
             for (key, count) in self.entries.values().flat_map(|seen| &seen.arms) {
                 book.add(key, count);
             }
-            let stage = match book.judge(&order.service, &order.target) {
+            let due = match book.judge(&order.service, &order.target) {
                 VersionVerdict::Bad(reason) => {
                     spdlog::warn!(
                         "rollout: {} {} is rolled back after {elapsed_ms} ms: {reason}.",
@@ -292,13 +292,13 @@
                 }
                 VersionVerdict::Sound => self.timing.stage_of_good(order, elapsed_ms),
             };
-            let is_due = now.since(clock.recorded_at) >= PROGRESS_INTERVAL;
-            if stage != held.stage || is_due {
+            let is_recorded = now.since(clock.recorded_at) >= PROGRESS_INTERVAL;
+            if due != held.stage || is_recorded {
                 clock.recorded_at = now;
                 commands.push(RoutingCommand::MoveRollout {
                     service: Arc::clone(&order.service),
                     target: Arc::clone(&order.target),
-                    stage,
+                    stage: due,
                     elapsed_ms,
                 });
             }
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -140,7 +140,7 @@
     /// The state was current at some time between call and answer.
     Current {
         /// What the entry lacks.
-        update: RoutingUpdate,
+        update: Box<RoutingUpdate>,
         /// Lists, where they differ from the entry's.
         peers: Option<PeerLists>,
     },
--- a/crates/wire/src/shutdown.rs
+++ b/crates/wire/src/shutdown.rs
@@ -27,5 +27,5 @@
         }
         Err(error) => spdlog::error!("settings: SIGHUP is not handled: {error}."),
     }
-    std::future::pending().await
+    std::future::pending::<()>().await;
 }
