--- /dev/null
+++ b/crates/entry/src/forward/choice.rs
@@ -0,0 +1,279 @@
+//! Choice of an endpoint for an attempt, and how busy a service is.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chestnutloft_core::hash::key_hash;
+use chestnutloft_core::routing::{
+    ColdAllowance, EndpointPhase, EndpointSeat, PlacementWish, PoolPressure, RolloutStage,
+    RouteRule, ServiceRule, choose_seat,
+};
+use chestnutloft_core::time::TimePoint;
+
+use super::book::{BookEndpoint, EntryBook};
+
+/// Share of a service's connections that entries use together.
+const CONNECTION_SHARE: f64 = 0.85;
+/// Connections that an entry may open to an endpoint in any case.
+const MIN_CONNECTIONS: usize = 2;
+/// Share of the exposure allowed for a trial that new sessions are sent to; the rest covers
+/// chance.
+const TRIAL_USE: f64 = 0.6;
+
+/// What a call needs to be placed.
+#[derive(Clone, Debug)]
+pub struct PlaceRequest<'a> {
+    /// Route.
+    pub route: &'a RouteRule,
+    /// Service.
+    pub service: &'a ServiceRule,
+    /// Session, or the call itself where it belongs to none.
+    pub session: u64,
+    /// What the call reads.
+    pub prompt: PromptSize,
+    /// Endpoints that this call was sent to already.
+    pub tried: &'a BTreeSet<Arc<str>>,
+}
+
+/// What a call reads, as one model reads it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct PromptSize {
+    /// Names the model.
+    pub kind: u64,
+    /// Key of the parts that other calls share.
+    pub shared: Option<u64>,
+    /// Tokens of those parts.
+    pub shared_tokens: f64,
+    /// Tokens of the part that is this call's alone.
+    pub own_tokens: f64,
+}
+
+/// An endpoint chosen for an attempt.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ChosenEndpoint {
+    /// Its name.
+    pub id: Arc<str>,
+    /// `IP:port`.
+    pub address: Arc<str>,
+    /// Version.
+    pub version: Arc<str>,
+}
+
+/// Why no endpoint can take a call now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoEndpoint {
+    /// None is known that takes new work.
+    NoneReady,
+    /// Those that could are cold and get enough already.
+    AllCold,
+    /// All connections allowed are in use.
+    AllConnected,
+}
+
+impl NoEndpoint {
+    /// The reason in words.
+    pub fn reason(self) -> &'static str {
+        match self {
+            Self::NoneReady => "no endpoint takes new work",
+            Self::AllCold => "the endpoints left are cold",
+            Self::AllConnected => "all connections are in use",
+        }
+    }
+}
+
+impl EntryBook {
+    /// How busy the endpoints of a service are.
+    pub fn pool_pressure(&self, now: TimePoint, service: &str) -> PoolPressure {
+        let able = self
+            .endpoints
+            .values()
+            .filter(|endpoint| *endpoint.notice.service == *service && self.takes_work(endpoint));
+        let (mut wait_ms, mut load, mut slots, mut count) = (0.0, 0.0, 0.0, 0.0);
+        for endpoint in able {
+            wait_ms += self.pressure.wait_ms(now, &endpoint.notice.id);
+            load += endpoint.load(now);
+            slots += f64::from(endpoint.notice.slots);
+            count += 1.0;
+        }
+        PoolPressure {
+            wait: Duration::from_secs_f64(wait_ms / f64::max(count, 1.0) / 1_000.0),
+            load: load / f64::max(slots, 1.0),
+        }
+    }
+
+    pub(super) fn takes_work(&self, endpoint: &BookEndpoint) -> bool {
+        endpoint.notice.phase == EndpointPhase::Ready
+            && !endpoint.is_misdirected
+            && !self.evacuated.contains(&endpoint.notice.domain)
+    }
+
+    /// Chooses an endpoint.
+    ///
+    /// # Errors
+    /// [`NoEndpoint`] when none can take the call now.
+    pub fn choose(
+        &mut self,
+        now: TimePoint,
+        request: &PlaceRequest<'_>,
+    ) -> Result<ChosenEndpoint, NoEndpoint> {
+        let service = &request.service.name;
+        let is_on_target = self.is_on_target(now, request);
+        let able: Vec<&BookEndpoint> = self
+            .endpoints
+            .values()
+            .filter(|endpoint| endpoint.notice.service == *service && self.takes_work(endpoint))
+            .filter(|endpoint| self.is_version_allowed(endpoint))
+            .collect();
+        let able = self.of_version(service, able, is_on_target);
+        if able.is_empty() {
+            return Err(NoEndpoint::NoneReady);
+        }
+        let connections = self.connection_share(request.service);
+        let open: Vec<&BookEndpoint> = able
+            .into_iter()
+            .filter(|endpoint| endpoint.in_flight < connections)
+            .collect();
+        if open.is_empty() {
+            return Err(NoEndpoint::AllConnected);
+        }
+        let warm: Vec<&BookEndpoint> = open
+            .into_iter()
+            .filter(|endpoint| self.bears(now, endpoint, request.service))
+            .collect();
+        if warm.is_empty() {
+            return Err(NoEndpoint::AllCold);
+        }
+        let fit = self.fittest(now, &warm, request.tried);
+        let seats: Vec<EndpointSeat<'_>> = fit
+            .iter()
+            .map(|endpoint| self.seat(now, endpoint))
+            .collect();
+        let wish = PlacementWish {
+            domain: &self.domain,
+            prefix: request.prompt.shared,
+            prefix_ms: self.read_ms(request.prompt.kind, request.prompt.shared_tokens),
+            own_ms: self.read_ms(request.prompt.kind, request.prompt.own_tokens),
+        };
+        let chosen = choose_seat(&self.placement, &wish, &seats).ok_or(NoEndpoint::NoneReady)?;
+        let notice = &fit[chosen].notice;
+        Ok(ChosenEndpoint {
+            id: Arc::clone(&notice.id),
+            address: Arc::clone(&notice.address),
+            version: Arc::clone(&notice.version),
+        })
+    }
+
+    fn seat<'a>(&'a self, now: TimePoint, endpoint: &'a BookEndpoint) -> EndpointSeat<'a> {
+        let id = &*endpoint.notice.id;
+        EndpointSeat {
+            id,
+            domain: &endpoint.notice.domain,
+            load: endpoint.load(now),
+            slots: f64::from(endpoint.notice.slots.max(1)),
+            wait_ms: self.pressure.wait_ms(now, id),
+            pace: self.health.pace(id),
+            is_on_trial: self.health.is_on_trial(id),
+        }
+    }
+
+    fn read_ms(&self, kind: u64, tokens: f64) -> f64 {
+        self.work.work_ms(kind, tokens)
+    }
+
+    /// Work of a call before its answer begins, in milliseconds, as far as known.
+    pub fn work_ms(&self, prompt: &PromptSize) -> f64 {
+        self.read_ms(prompt.kind, prompt.shared_tokens + prompt.own_tokens)
+    }
+
+    /// Time after which a call sent to `id` now is expected to begin to answer.
+    pub fn expected(&self, now: TimePoint, id: &str, prompt: &PromptSize) -> Duration {
+        let expected_ms = self.pressure.wait_ms(now, id) + self.work_ms(prompt);
+        Duration::from_secs_f64(expected_ms / 1_000.0)
+    }
+
+    /// Endpoints that are neither ejected nor tried already, as far as there are any.
+    fn fittest<'a>(
+        &self,
+        now: TimePoint,
+        endpoints: &[&'a BookEndpoint],
+        tried: &BTreeSet<Arc<str>>,
+    ) -> Vec<&'a BookEndpoint> {
+        let narrowed = |from: &[&'a BookEndpoint], keep: &dyn Fn(&BookEndpoint) -> bool| {
+            let kept: Vec<_> = from.iter().copied().filter(|e| keep(e)).collect();
+            if kept.is_empty() { from.to_vec() } else { kept }
+        };
+        let untried = narrowed(endpoints, &|e| !tried.contains(&e.notice.id));
+        narrowed(&untried, &|e| !self.health.is_out(now, &e.notice.id))
+    }
+
+    fn connection_share(&self, service: &ServiceRule) -> usize {
+        let all = f64::from(service.max_connections) * CONNECTION_SHARE;
+        let share = (all / self.entries.len().max(1) as f64).floor() as usize;
+        share.max(MIN_CONNECTIONS)
+    }
+
+    fn bears(&self, now: TimePoint, endpoint: &BookEndpoint, service: &ServiceRule) -> bool {
+        if now >= endpoint.cold_until || service.cold_per_s <= 0.0 {
+            return true;
+        }
+        let id = &endpoint.notice.id;
+        let share = ColdAllowance::share(id, &self.name, &self.entries, service.cold_per_s);
+        self.cold.has_room(now, id, share)
+    }
+
+    fn is_version_allowed(&self, endpoint: &BookEndpoint) -> bool {
+        let rollout = self.rollouts.get(&endpoint.notice.service);
+        rollout.is_none_or(|state| {
+            state.stage != RolloutStage::RolledBack || endpoint.notice.version != state.order.target
+        })
+    }
+
+    /// Endpoints on the side of the roll-out that the call belongs to, as far as there are any.
+    fn of_version<'a>(
+        &self,
+        service: &str,
+        endpoints: Vec<&'a BookEndpoint>,
+        is_on_target: bool,
+    ) -> Vec<&'a BookEndpoint> {
+        let Some(state) = self.rollouts.get(service) else {
+            return endpoints;
+        };
+        let is_target = |endpoint: &&BookEndpoint| endpoint.notice.version == state.order.target;
+        let (target, old): (Vec<_>, Vec<_>) = endpoints.into_iter().partition(|e| is_target(e));
+        let has_choice = !target.is_empty() && !old.is_empty();
+        match (has_choice, is_on_target) {
+            (true, true) => target,
+            (true, false) => old,
+            // A version on trial takes no more than its share, even where the old one is gone.
+            (false, false) if state.stage == RolloutStage::Trial => old,
+            (false, _) => target.into_iter().chain(old).collect(),
+        }
+    }
+
+    fn is_on_target(&mut self, now: TimePoint, request: &PlaceRequest<'_>) -> bool {
+        let service = &request.service.name;
+        let stage = self.rollouts.get(service).map(|state| state.stage);
+        match stage {
+            Some(RolloutStage::Trial) => {
+                let share = self.limits.trial_share * TRIAL_USE;
+                let keep = self.limits.session;
+                self.sessions
+                    .is_on_target(now, service, request.session, share, keep)
+            }
+            Some(RolloutStage::Shift | RolloutStage::Completed) => true,
+            Some(RolloutStage::RolledBack) => false,
+            None => {
+                self.sessions.note(now, service, request.session, false);
+                false
+            }
+        }
+    }
+}
+
+/// Key of a prompt's shared parts as a given model reads them.
+pub fn prefix_key(parts: &[u64], model: &str) -> u64 {
+    let mut bytes: Vec<u8> = parts.iter().flat_map(|part| part.to_le_bytes()).collect();
+    bytes.extend_from_slice(model.as_bytes());
+    key_hash(&bytes)
+}
--- a/crates/entry/src/forward/exchange.rs
+++ b/crates/entry/src/forward/exchange.rs
@@ -13,8 +13,8 @@
 use chestnutloft_core::time::TimePoint;
 use chestnutloft_wire::clock;
 
-use super::book::ChosenEndpoint;
 use super::call::ForwardGate;
+use super::choice::ChosenEndpoint;
 use super::dialect::{AnswerHead, AttemptHead, CallFate, LinkFate};
 use super::intake::InboundCall;
 use super::links::{EndpointLink, LinkError};
--- a/crates/entry/src/forward/mod.rs
+++ b/crates/entry/src/forward/mod.rs
@@ -6,12 +6,14 @@
 
 pub mod book;
 pub mod call;
+pub mod choice;
 pub mod daemon;
 pub mod dialect;
 mod door;
 mod exchange;
 mod intake;
 mod links;
+mod outcomes;
 mod pipeline;
 mod relay;
 pub mod settings;
--- a/crates/entry/src/forward/pipeline.rs
+++ b/crates/entry/src/forward/pipeline.rs
@@ -16,8 +16,8 @@
 use chestnutloft_wire::clock;
 use chestnutloft_wire::http::{AnyBody, full};
 
-use super::book::{ChosenEndpoint, NoEndpoint, PlaceRequest, PromptSize, prefix_key};
 use super::call::ForwardGate;
+use super::choice::{ChosenEndpoint, NoEndpoint, PlaceRequest, PromptSize, prefix_key};
 use super::dialect::{CallRefusal, ModelWish};
 use super::exchange::{AttemptFailure, LiveAnswer, send_attempt};
 use super::intake::{InboundCall, take_call};
