--- a/crates/entry/src/forward/settings.rs
+++ b/crates/entry/src/forward/settings.rs
@@ -30,9 +30,6 @@
     /// Time that a process has for shutting down, in seconds.
     #[serde_as(as = "DurationSecondsWithFrac<f64>")]
     pub shutdown: Duration,
-    /// Longest time that an event of a stream may stay in the entry, in milliseconds.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
-    pub event_delay: Duration,
     /// Share of a service's calls that a version on trial may get.
     pub trial_share: f64,
 }
@@ -46,7 +43,6 @@
             key_withdrawal: Duration::from_secs(5),
             session: Duration::from_secs(5),
             shutdown: Duration::from_secs(8),
-            event_delay: Duration::from_millis(120),
             trial_share: 0.15,
         }
     }
