Find a service's working endpoints in one place, and size up a prompt once for each attempt

The filter by service and readiness stood three times; an attempt built the prompt's key twice and took the book's lock twice. PlaceRequest carried a route that nothing read, and read_ms only passed its arguments on.

--- a/crates/entry/src/forward/choice.rs
+++ b/crates/entry/src/forward/choice.rs
@@ -7,7 +7,7 @@
 use chestnutloft_core::hash::key_hash;
 use chestnutloft_core::routing::{
     ColdAllowance, EndpointPhase, EndpointSeat, PlacementWish, PoolPressure, RolloutStage,
-    RouteRule, ServiceRule, choose_seat,
+    ServiceRule, choose_seat,
 };
 use chestnutloft_core::time::TimePoint;
 
@@ -24,8 +24,6 @@
 /// What a call needs to be placed.
 #[derive(Clone, Debug)]
 pub struct PlaceRequest<'a> {
-    /// Route.
-    pub route: &'a RouteRule,
     /// Service.
     pub service: &'a ServiceRule,
     /// Session, or the call itself where it belongs to none.
@@ -49,6 +47,13 @@
     pub own_tokens: f64,
 }
 
+impl PromptSize {
+    /// All tokens.
+    pub fn tokens(&self) -> f64 {
+        self.shared_tokens + self.own_tokens
+    }
+}
+
 /// An endpoint chosen for an attempt.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ChosenEndpoint {
@@ -85,10 +90,7 @@
 impl EntryBook {
     /// How busy the endpoints of a service are.
     pub fn pool_pressure(&self, now: TimePoint, service: &str) -> PoolPressure {
-        let able = self
-            .endpoints
-            .values()
-            .filter(|endpoint| *endpoint.notice.service == *service && self.takes_work(endpoint));
+        let able = self.working(service);
         let (mut wait_ms, mut load, mut slots, mut count) = (0.0, 0.0, 0.0, 0.0);
         for endpoint in able {
             wait_ms += self.pressure.wait_ms(now, &endpoint.notice.id);
@@ -102,7 +104,15 @@
         }
     }
 
-    pub(super) fn takes_work(&self, endpoint: &BookEndpoint) -> bool {
+    /// Endpoints of a service that take work.
+    pub(super) fn working(&self, service: &str) -> impl Iterator<Item = &BookEndpoint> {
+        self.endpoints
+            .values()
+            .filter(move |endpoint| *endpoint.notice.service == *service)
+            .filter(|endpoint| self.takes_work(endpoint))
+    }
+
+    fn takes_work(&self, endpoint: &BookEndpoint) -> bool {
         endpoint.notice.phase == EndpointPhase::Ready
             && !endpoint.is_misdirected
             && !self.evacuated.contains(&endpoint.notice.domain)
@@ -120,9 +130,7 @@
         let service = &request.service.name;
         let is_on_target = self.is_on_target(now, request);
         let able: Vec<&BookEndpoint> = self
-            .endpoints
-            .values()
-            .filter(|endpoint| endpoint.notice.service == *service && self.takes_work(endpoint))
+            .working(service)
             .filter(|endpoint| self.is_version_allowed(endpoint))
             .collect();
         let able = self.of_version(service, able, is_on_target);
@@ -152,8 +160,12 @@
         let wish = PlacementWish {
             domain: &self.domain,
             prefix: request.prompt.shared,
-            prefix_ms: self.read_ms(request.prompt.kind, request.prompt.shared_tokens),
-            own_ms: self.read_ms(request.prompt.kind, request.prompt.own_tokens),
+            prefix_ms: self
+                .work
+                .work_ms(request.prompt.kind, request.prompt.shared_tokens),
+            own_ms: self
+                .work
+                .work_ms(request.prompt.kind, request.prompt.own_tokens),
         };
         let chosen = choose_seat(&self.placement, &wish, &seats).ok_or(NoEndpoint::NoneReady)?;
         let notice = &fit[chosen].notice;
@@ -177,13 +189,9 @@
         }
     }
 
-    fn read_ms(&self, kind: u64, tokens: f64) -> f64 {
-        self.work.work_ms(kind, tokens)
-    }
-
     /// Work of a call before its answer begins, in milliseconds, as far as known.
     pub fn work_ms(&self, prompt: &PromptSize) -> f64 {
-        self.read_ms(prompt.kind, prompt.shared_tokens + prompt.own_tokens)
+        self.work.work_ms(prompt.kind, prompt.tokens())
     }
 
     /// Time after which a call sent to `id` now is expected to begin to answer.
--- a/crates/entry/src/forward/outcomes.rs
+++ b/crates/entry/src/forward/outcomes.rs
@@ -23,8 +23,7 @@
         let work_ms = self.work_ms(prompt);
         self.pressure.note_delay(now, id, work_ms, took);
         if is_answered {
-            let tokens = prompt.shared_tokens + prompt.own_tokens;
-            self.work.note(prompt.kind, tokens, took);
+            self.work.note(prompt.kind, prompt.tokens(), took);
         }
     }
 
@@ -107,11 +106,8 @@
         let Some(endpoint) = self.endpoints.get(id) else {
             return false;
         };
-        let service = Arc::clone(&endpoint.notice.service);
         let pool: Vec<Arc<str>> = self
-            .endpoints
-            .values()
-            .filter(|other| other.notice.service == service && self.takes_work(other))
+            .working(&endpoint.notice.service)
             .map(|other| Arc::clone(&other.notice.id))
             .collect();
         self.health.note_failure(now, id, &pool)
--- a/crates/entry/src/forward/pipeline.rs
+++ b/crates/entry/src/forward/pipeline.rs
@@ -151,7 +151,6 @@
 
     fn choose(&self, now: TimePoint) -> Result<ChosenEndpoint, NoEndpoint> {
         let request = PlaceRequest {
-            route: &self.call.route,
             service: &self.call.service,
             session: self.call.session_key(),
             prompt: self.prompt(),
@@ -187,14 +186,16 @@
         resume_after: Option<u64>,
     ) -> Result<LiveAnswer, AttemptFailure> {
         let now = clock::now();
-        let expected = self.gate.book().expected(now, &endpoint.id, &self.prompt());
+        let prompt = self.prompt();
+        let (expected, work_ms) = {
+            let book = self.gate.book();
+            let expected = book.expected(now, &endpoint.id, &prompt);
+            (expected, book.work_ms(&prompt))
+        };
         let wait = self.answer_wait(now, expected);
-        let id = Arc::clone(&endpoint.id);
-        self.tried.insert(Arc::clone(&id));
+        self.tried.insert(Arc::clone(&endpoint.id));
         self.runs += 1;
         let model = self.model();
-        let prompt = self.prompt();
-        let work_ms = self.gate.book().work_ms(&prompt);
         let sent = send_attempt(
             &self.gate,
             &self.call,
