--- a/crates/core/src/routing/ladder.rs
+++ b/crates/core/src/routing/ladder.rs
@@ -60,11 +60,6 @@
         Self { settings, rungs }
     }
 
-    /// Rung to start on.
-    pub fn first(&self) -> usize {
-        0
-    }
-
     /// Rung to ask next, where the answer of `rung` with `confidence` is not good enough.
     ///
     /// `waited` is the time since the call came, `aim` the time within which its answer should
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -1,11 +1,10 @@
 //! `chestnutloft-entry`: stands between callers and endpoints.
 
-use std::path::PathBuf;
 use std::process::ExitCode;
 
 use chestnutloft_entry::daemon::EntryDaemon;
 use chestnutloft_entry::settings::EntrySettings;
-use chestnutloft_wire::{logs, settings, shutdown};
+use chestnutloft_wire::{process, shutdown};
 
 mod flags {
     use std::path::PathBuf;
@@ -23,31 +22,15 @@
 
 fn main() -> ExitCode {
     let flags = flags::ChestnutloftEntry::from_env_or_exit();
-    let path = flags
-        .settings
-        .unwrap_or_else(|| PathBuf::from("entry.yaml"));
-    let settings = match settings::load(&path, EntrySettings::check) {
+    let path = process::settings_path(flags.settings, "entry.yaml");
+    let settings = match process::prepare(&path, EntrySettings::check, |new| &new.log_level) {
         Ok(settings) => settings,
-        Err(findings) => {
-            settings::print_findings(&path, &findings);
-            return ExitCode::from(2);
-        }
+        Err(code) => return code,
     };
-    if let Err(problem) = logs::start(&settings.log_level) {
-        eprintln!("{}: log_level: {problem}", path.display());
-        return ExitCode::from(2);
-    }
     if flags.check {
-        println!("{settings:#?}");
-        return ExitCode::SUCCESS;
-    }
-    match run(settings) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(problem) => {
-            spdlog::critical!("entry: {problem}.");
-            ExitCode::FAILURE
-        }
+        return process::show(&settings);
     }
+    process::finish("entry", run(settings))
 }
 
 fn run(settings: EntrySettings) -> Result<(), String> {
--- a/crates/keeper/src/main.rs
+++ b/crates/keeper/src/main.rs
@@ -1,11 +1,10 @@
 //! `chestnutloft-keeper`: one replica of chestnutloft's durable state.
 
-use std::path::PathBuf;
 use std::process::ExitCode;
 
 use chestnutloft_keeper::daemon::{self, KeeperDaemon};
 use chestnutloft_keeper::settings::KeeperSettings;
-use chestnutloft_wire::{logs, settings, shutdown};
+use chestnutloft_wire::{process, shutdown};
 
 mod flags {
     use std::path::PathBuf;
@@ -29,36 +28,18 @@
 
 fn main() -> ExitCode {
     let flags = flags::ChestnutloftKeeper::from_env_or_exit();
-    let path = flags
-        .settings
-        .unwrap_or_else(|| PathBuf::from("keeper.yaml"));
-    let settings = match settings::load(&path, KeeperSettings::check) {
+    let path = process::settings_path(flags.settings, "keeper.yaml");
+    let settings = match process::prepare(&path, KeeperSettings::check, |new| &new.log_level) {
         Ok(settings) => settings,
-        Err(findings) => {
-            settings::print_findings(&path, &findings);
-            return ExitCode::from(2);
-        }
+        Err(code) => return code,
     };
-    if let Err(problem) = logs::start(&settings.log_level) {
-        eprintln!("{}: log_level: {problem}", path.display());
-        return ExitCode::from(2);
-    }
     let outcome = match flags.subcommand {
         flags::ChestnutloftKeeperCmd::Run(_) => run(settings),
         flags::ChestnutloftKeeperCmd::Init(_) => daemon::init(&settings).map_err(|e| e.to_string()),
         flags::ChestnutloftKeeperCmd::Join(_) => daemon::join(&settings).map_err(|e| e.to_string()),
-        flags::ChestnutloftKeeperCmd::Check(_) => {
-            println!("{settings:#?}");
-            Ok(())
-        }
+        flags::ChestnutloftKeeperCmd::Check(_) => return process::show(&settings),
     };
-    match outcome {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(problem) => {
-            spdlog::critical!("keeper: {problem}.");
-            ExitCode::FAILURE
-        }
-    }
+    process::finish("keeper", outcome)
 }
 
 fn run(settings: KeeperSettings) -> Result<(), String> {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod metrics;
 #[allow(missing_docs, clippy::all, clippy::pedantic)]
 pub mod peer_capnp;
+pub mod process;
 pub mod rpc;
 pub mod rpc_client;
 pub mod settings;
