Keep sessions on their version across entries during a trial

Cause: a session's calls reach different entries, and each entry knew only the sessions that it had seen itself. Besides, a session was noted on the new version when its call had been placed on the old one for want of new endpoints, and its idle time was counted from the beginning of its last call, not from the end.

Change: entries report the sessions of the trial's share that they see on the old version with their call to the leading keeper, which sends the union to all; the trial takes new sessions 1 s after an entry learns of it. A session is noted where its call went, and until its last call has ended for the idle time. New sessions go to the old version where the new one has no room.

--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -27,7 +27,7 @@
 pub use placement::{EndpointSeat, PlacementSettings, PlacementWish, choose_seat};
 pub use pressure::{PressureBook, PressureSettings, WorkEstimate};
 pub use rollout::{RolloutOrder, RolloutStage, RolloutState, RolloutTiming};
-pub use sessions::SessionVersions;
+pub use sessions::{SessionMark, SessionVersions, VersionWish, session_mark};
 pub use state::{
     DeclarationUpdate, RoutingCommand, RoutingOutcome, RoutingRevision, RoutingState,
     RoutingUpdate, StoredDeclaration,
--- a/crates/entry/src/forward/book.rs
+++ b/crates/entry/src/forward/book.rs
@@ -65,6 +65,8 @@
     pub(super) endpoints: HashMap<Arc<str>, BookEndpoint>,
     pub(super) evacuated: BTreeSet<Arc<str>>,
     pub(super) rollouts: HashMap<Arc<str>, RolloutState>,
+    /// When this entry learnt of each service's trial.
+    pub(super) trials_known_at: HashMap<Arc<str>, TimePoint>,
     /// Entries known, this one among them.
     pub entries: Vec<Arc<str>>,
     current_at: Option<TimePoint>,
@@ -101,6 +103,7 @@
             endpoints: HashMap::new(),
             evacuated: BTreeSet::new(),
             rollouts: HashMap::new(),
+            trials_known_at: HashMap::new(),
             entries: vec![name],
             current_at: None,
             sessions: SessionVersions::default(),
@@ -166,7 +169,7 @@
             self.apply_evacuated(now, evacuated);
         }
         if let Some(rollouts) = update.rollouts {
-            self.apply_rollouts(rollouts);
+            self.apply_rollouts(now, rollouts);
         }
         self.current_at = self.current_at.max(Some(asked_at));
     }
@@ -220,7 +223,7 @@
         self.evacuated = evacuated;
     }
 
-    fn apply_rollouts(&mut self, rollouts: Vec<RolloutState>) {
+    fn apply_rollouts(&mut self, now: TimePoint, rollouts: Vec<RolloutState>) {
         for state in rollouts {
             let service = Arc::clone(&state.order.service);
             let before = self.rollouts.get(&service);
@@ -233,6 +236,9 @@
                 state.order.target,
                 state.stage
             );
+            if is_new {
+                self.trials_known_at.insert(Arc::clone(&service), now);
+            }
             if is_new || state.stage.is_final() {
                 self.sessions.reset(&service);
             }
--- a/crates/entry/src/forward/choice.rs
+++ b/crates/entry/src/forward/choice.rs
@@ -7,7 +7,7 @@
 use chestnutloft_core::hash::key_hash;
 use chestnutloft_core::routing::{
     ColdAllowance, EndpointPhase, EndpointSeat, PlacementWish, PoolPressure, RolloutStage,
-    ServiceRule, choose_seat,
+    RolloutState, ServiceRule, SessionMark, VersionWish, choose_seat, session_mark,
 };
 use chestnutloft_core::time::TimePoint;
 
@@ -20,6 +20,10 @@
 /// Share of the exposure allowed for a trial that new sessions are sent to; the rest covers
 /// chance.
 const TRIAL_USE: f64 = 0.6;
+/// Time from the start of a trial until new sessions go to the new version: entries report the
+/// sessions under way with their next call to the keepers and learn those of others with its
+/// answer, each after 0.4 s at most.
+const TRIAL_DELAY: Duration = Duration::from_secs(1);
 
 /// What a call needs to be placed.
 #[derive(Clone, Debug)]
@@ -127,13 +131,26 @@
         now: TimePoint,
         request: &PlaceRequest<'_>,
     ) -> Result<ChosenEndpoint, NoEndpoint> {
-        let service = &request.service.name;
-        let is_on_target = self.is_on_target(now, request);
-        let able: Vec<&BookEndpoint> = self
-            .working(service)
-            .filter(|endpoint| self.is_version_allowed(endpoint))
-            .collect();
-        let able = self.of_version(service, able, is_on_target);
+        let wish = self.version_wish(now, request);
+        let mut outcome = Err(NoEndpoint::NoneReady);
+        for group in self.version_groups(&request.service.name, wish) {
+            outcome = self.choose_among(now, request, group);
+            if outcome.is_ok() {
+                break;
+            }
+        }
+        if let Ok(endpoint) = &outcome {
+            self.note_session(now, request, &endpoint.version);
+        }
+        outcome
+    }
+
+    fn choose_among(
+        &self,
+        now: TimePoint,
+        request: &PlaceRequest<'_>,
+        able: Vec<&BookEndpoint>,
+    ) -> Result<ChosenEndpoint, NoEndpoint> {
         if able.is_empty() {
             return Err(NoEndpoint::NoneReady);
         }
@@ -237,46 +254,86 @@
         })
     }
 
-    /// Endpoints on the side of the roll-out that the call belongs to, as far as there are any.
-    fn of_version<'a>(
-        &self,
-        service: &str,
-        endpoints: Vec<&'a BookEndpoint>,
-        is_on_target: bool,
-    ) -> Vec<&'a BookEndpoint> {
+    /// Endpoints that a call may go to, in groups by version, the one to try first in front.
+    fn version_groups(&self, service: &str, wish: VersionWish) -> Vec<Vec<&BookEndpoint>> {
+        let able = self
+            .working(service)
+            .filter(|endpoint| self.is_version_allowed(endpoint));
         let Some(state) = self.rollouts.get(service) else {
-            return endpoints;
+            return vec![able.collect()];
         };
-        let is_target = |endpoint: &&BookEndpoint| endpoint.notice.version == state.order.target;
-        let (target, old): (Vec<_>, Vec<_>) = endpoints.into_iter().partition(|e| is_target(e));
-        let has_choice = !target.is_empty() && !old.is_empty();
-        match (has_choice, is_on_target) {
-            (true, true) => target,
-            (true, false) => old,
+        let (target, old): (Vec<_>, Vec<_>) =
+            able.partition(|endpoint| endpoint.notice.version == state.order.target);
+        match wish {
+            VersionWish::TargetFirst => vec![target, old],
+            VersionWish::Target if target.is_empty() => vec![old],
+            VersionWish::Target => vec![target],
             // A version on trial takes no more than its share, even where the old one is gone.
-            (false, false) if state.stage == RolloutStage::Trial => old,
-            (false, _) => target.into_iter().chain(old).collect(),
+            VersionWish::Old if old.is_empty() && state.stage != RolloutStage::Trial => {
+                vec![target]
+            }
+            VersionWish::Old => vec![old],
         }
     }
 
-    fn is_on_target(&mut self, now: TimePoint, request: &PlaceRequest<'_>) -> bool {
+    fn version_wish(&self, now: TimePoint, request: &PlaceRequest<'_>) -> VersionWish {
         let service = &request.service.name;
-        let stage = self.rollouts.get(service).map(|state| state.stage);
-        match stage {
+        match self.rollouts.get(service).map(|state| state.stage) {
+            // Until the entries have told each other of the sessions under way.
+            Some(RolloutStage::Trial) if !self.is_trial_open(now, service) => VersionWish::Old,
             Some(RolloutStage::Trial) => {
-                let share = self.limits.trial_share * TRIAL_USE;
+                let mark = session_mark(service, request.session);
                 let keep = self.limits.session;
-                self.sessions
-                    .is_on_target(now, service, request.session, share, keep)
-            }
-            Some(RolloutStage::Shift | RolloutStage::Completed) => true,
-            Some(RolloutStage::RolledBack) => false,
-            None => {
-                self.sessions.note(now, service, request.session, false);
-                false
+                self.sessions.wish(now, mark, self.trial_share(), keep)
             }
+            Some(RolloutStage::Shift) => VersionWish::TargetFirst,
+            // The old endpoints stop at once.
+            Some(RolloutStage::Completed) => VersionWish::Target,
+            Some(RolloutStage::RolledBack) | None => VersionWish::Old,
         }
     }
+
+    /// A session belongs to the version that its call went to, which may differ from its wish.
+    fn note_session(&mut self, now: TimePoint, request: &PlaceRequest<'_>, version: &str) {
+        let service = &request.service.name;
+        let rollout = self.rollouts.get(service);
+        let is_on_target = rollout.is_some_and(|state| *state.order.target == *version);
+        self.sessions.prune(now, self.limits.session);
+        let mark = session_mark(service, request.session);
+        self.sessions.note(now, service, mark, is_on_target);
+    }
+
+    /// Notes that a call of a session has ended.
+    pub fn note_session_end(&mut self, now: TimePoint, service: &str, session: u64) {
+        self.sessions.touch(now, session_mark(service, session));
+    }
+
+    /// Share of new sessions that a version on trial gets.
+    fn trial_share(&self) -> f64 {
+        self.limits.trial_share * TRIAL_USE
+    }
+
+    fn is_trial_open(&self, now: TimePoint, service: &str) -> bool {
+        let known_at = self.trials_known_at.get(service);
+        known_at.is_some_and(|at| now.since(*at) >= TRIAL_DELAY)
+    }
+
+    /// Sessions that must stay on the old versions of services on trial, as seen here.
+    pub fn bound_sessions(&self, now: TimePoint) -> Vec<SessionMark> {
+        let on_trial = self.rollouts.values();
+        let on_trial = on_trial.filter(|state| state.stage == RolloutStage::Trial);
+        let bound = |state: &RolloutState| {
+            let service = &state.order.service;
+            self.sessions
+                .bound_here(now, service, self.trial_share(), self.limits.session)
+        };
+        on_trial.flat_map(bound).collect()
+    }
+
+    /// Notes sessions that other entries saw on the old versions.
+    pub fn bind_sessions(&mut self, marks: &[SessionMark]) {
+        self.sessions.bind(marks);
+    }
 }
 
 /// Key of a prompt's shared parts as a given model reads them.
--- a/crates/entry/src/forward/pipeline.rs
+++ b/crates/entry/src/forward/pipeline.rs
@@ -71,6 +71,18 @@
     failure: &'static str,
 }
 
+impl Drop for CallRun {
+    fn drop(&mut self) {
+        if self.call.head.session.is_some() {
+            let service = &self.call.service.name;
+            let session = self.call.session_key();
+            self.gate
+                .book()
+                .note_session_end(clock::now(), service, session);
+        }
+    }
+}
+
 enum AnswerVerdict {
     Reply(Response<AnyBody>),
     Again,
@@ -193,6 +205,14 @@
             (expected, book.work_ms(&prompt))
         };
         let wait = self.answer_wait(now, expected);
+        spdlog::info!(
+            "call {}: session {:016x} goes to {} with version {}, expected to begin in {} ms.",
+            self.call.head.id,
+            self.call.session_key(),
+            endpoint.id,
+            endpoint.version,
+            expected.as_millis()
+        );
         self.tried.insert(Arc::clone(&endpoint.id));
         self.runs += 1;
         let model = self.model();
--- a/crates/entry/src/forward/watch.rs
+++ b/crates/entry/src/forward/watch.rs
@@ -6,7 +6,7 @@
 
 use chestnutloft_core::time::TimePoint;
 use chestnutloft_wire::clock;
-use chestnutloft_wire::message::{PeerLists, WatchCall, WatchReply};
+use chestnutloft_wire::message::{PeerLists, WatchCall, WatchReply, marks_hash};
 use chestnutloft_wire::rpc::Method;
 use chestnutloft_wire::rpc_client::PeerCaller;
 use chestnutloft_wire::settings::SeedReader;
@@ -55,6 +55,7 @@
     caller: PeerCaller,
     seeds: SeedList,
     peers: PeerLists,
+    bound_hash: u64,
     target: Option<String>,
     turn: usize,
     is_in_touch: bool,
@@ -67,6 +68,7 @@
         caller,
         seeds,
         peers: PeerLists::default(),
+        bound_hash: marks_hash(&[]),
         target: None,
         turn: 0,
         is_in_touch: false,
@@ -101,16 +103,24 @@
     async fn ask_once(&mut self) {
         let target = self.target();
         let asked_at = clock::now();
-        let call = self.call();
+        let call = self.call(asked_at);
         let reply = self
             .caller
             .call::<_, WatchReply>(&target, Method::Watch, &call, CALL_TIMEOUT)
             .await;
         let now = clock::now();
         match reply {
-            Ok(WatchReply::Current { update, peers }) => {
+            Ok(WatchReply::Current {
+                update,
+                peers,
+                bound_sessions,
+            }) => {
                 self.target = Some(target);
                 self.note_touch(now, true, "");
+                if let Some(marks) = bound_sessions {
+                    self.bound_hash = marks_hash(&marks);
+                    self.gate.book().bind_sessions(&marks);
+                }
                 self.take(now, asked_at, *update, peers);
             }
             Ok(WatchReply::NotLeader(hint)) => {
@@ -128,13 +138,15 @@
         }
     }
 
-    fn call(&self) -> WatchCall {
+    fn call(&self, now: TimePoint) -> WatchCall {
         let mut book = self.gate.book();
         WatchCall {
             entry: Arc::clone(&self.gate.name),
             known: book.revision(),
             peers_hash: self.peers.hash(),
             arms: book.take_arms(),
+            bound_sessions: book.bound_sessions(now),
+            bound_hash: self.bound_hash,
         }
     }
 
--- a/crates/keeper/src/desk.rs
+++ b/crates/keeper/src/desk.rs
@@ -1,7 +1,7 @@
 //! What the leader keeps beside the routing state: who was heard when, who waits for news, and
 //! the evidence on roll-outs. All of it is rebuilt by a new leader within a second or two.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,11 +11,11 @@
 
 use chestnutloft_core::routing::{
     ArmCount, ArmKey, DirectoryChange, EndpointNotice, EndpointPhase, NoticeOutcome, PoolEndpoint,
-    RolloutStage, RolloutTiming, RoutingCommand, RoutingState, VerdictBook, VerdictSettings,
-    VersionVerdict,
+    RolloutStage, RolloutTiming, RoutingCommand, RoutingState, SessionMark, VerdictBook,
+    VerdictSettings, VersionVerdict,
 };
 use chestnutloft_core::time::TimePoint;
-use chestnutloft_wire::message::{PeerLists, WatchCall, WatchReply};
+use chestnutloft_wire::message::{PeerLists, WatchCall, WatchReply, marks_hash};
 
 /// Timing of the desk.
 #[serde_as]
@@ -61,6 +61,7 @@
 struct SeenEntry {
     at: TimePoint,
     arms: Vec<(ArmKey, ArmCount)>,
+    bound_sessions: Vec<SessionMark>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -178,9 +179,11 @@
                 SeenEntry {
                     at: now,
                     arms: Vec::new(),
+                    bound_sessions: Vec::new(),
                 }
             });
         seen.at = now;
+        seen.bound_sessions = std::mem::take(&mut call.bound_sessions);
         if let Some(arms) = call.arms.take() {
             seen.arms = arms;
         }
@@ -198,6 +201,8 @@
         }
         let peers = self.peers();
         let peers_hash = peers.hash();
+        let bound = self.bound_sessions();
+        let bound_hash = marks_hash(&bound);
         for watch in std::mem::take(&mut self.watches) {
             let has_news =
                 watch.call.known.index < state.changed_at || watch.call.peers_hash != peers_hash;
@@ -211,6 +216,7 @@
             let reply = WatchReply::Current {
                 update: Box::new(update),
                 peers: (!has_peers).then(|| peers.clone()),
+                bound_sessions: (watch.call.bound_hash != bound_hash).then(|| bound.clone()),
             };
             // An entry that has given up waiting asks again.
             let _ = watch.reply.send(reply);
@@ -238,6 +244,13 @@
         }
     }
 
+    /// Sessions that some entry saw on the old version of a service on trial, in order.
+    fn bound_sessions(&self) -> Vec<SessionMark> {
+        let all = self.entries.values().flat_map(|seen| &seen.bound_sessions);
+        let bound: BTreeSet<SessionMark> = all.copied().collect();
+        bound.into_iter().collect()
+    }
+
     /// Commands that are due as time passes.
     pub fn due_commands(&mut self, now: TimePoint, state: &RoutingState) -> Vec<RoutingCommand> {
         let silence = self.settings.entry_silence;
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -6,7 +6,7 @@
 
 use chestnutloft_core::consensus::{PeerMessage, ReplicaId};
 use chestnutloft_core::ids::{EndpointId, EntryId};
-use chestnutloft_core::routing::{ArmCount, ArmKey, RoutingRevision, RoutingUpdate};
+use chestnutloft_core::routing::{ArmCount, ArmKey, RoutingRevision, RoutingUpdate, SessionMark};
 use chestnutloft_core::state::{
     CreditGrant, CreditReport, EndpointRecord, EntryBeat, KeeperCommand, KeeperOutcome, LeaseGrant,
 };
@@ -115,6 +115,16 @@
     pub peers_hash: u64,
     /// What it saw of versions under roll-out since it started, where that has changed.
     pub arms: Option<Vec<(ArmKey, ArmCount)>>,
+    /// Sessions that it saw on the old version of a service on trial.
+    pub bound_sessions: Vec<SessionMark>,
+    /// Hash of those of all entries that it has; see [`marks_hash`].
+    pub bound_hash: u64,
+}
+
+/// A hash that tells two lists of sessions apart.
+pub fn marks_hash(marks: &[SessionMark]) -> u64 {
+    let bytes: Vec<u8> = marks.iter().flat_map(|mark| mark.to_le_bytes()).collect();
+    chestnutloft_core::hash::key_hash(&bytes)
 }
 
 /// Lists of processes, sent when they change.
@@ -143,6 +153,8 @@
         update: Box<RoutingUpdate>,
         /// Lists, where they differ from the entry's.
         peers: Option<PeerLists>,
+        /// Sessions that all entries saw on the old version, where they differ from the entry's.
+        bound_sessions: Option<Vec<SessionMark>>,
     },
     /// This keeper does not lead; RPC address of the one that does, if known.
     NotLeader(Option<String>),
