Share the work that waits at endpoints between entries

Cause: each entry placed calls by what it had sent itself.

Change: entries tell the leading keeper what they have sent that has not begun to answer, and get the sum of the others in return: before a placement where their view is older than 15 ms (waiting 12 ms at most), and 8 ms after a change. Without a leader they decide as before.

--- /dev/null
+++ b/crates/core/src/routing/board.rs
@@ -0,0 +1,94 @@
+//! Work that waits at endpoints, summed over entries.
+//!
+//! An entry sees only the calls that it has sent itself. Where several entries send to the same
+//! endpoints, each would take the one for idle that the others have just filled. They report
+//! what waits to one place, which answers with the sum of the others.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::hash::key_hash;
+use crate::time::TimePoint;
+
+/// Age at which a report counts no more: its entry has stopped or is cut off, and what it had
+/// sent has begun or failed.
+const REPORT_LIFE: Duration = Duration::from_secs(2);
+
+/// An endpoint as a short number. Two endpoints with the same one would count as one, which
+/// costs no more than a worse choice.
+pub type EndpointMark = u32;
+
+/// The mark of the endpoint `id`.
+pub fn endpoint_mark(id: &str) -> EndpointMark {
+    key_hash(id.as_bytes()) as EndpointMark
+}
+
+/// Work sent to an endpoint that has not begun to answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WaitingWork {
+    /// The endpoint.
+    pub endpoint: EndpointMark,
+    /// Time that the work takes, in milliseconds.
+    pub work_ms: u32,
+}
+
+#[derive(Clone, Debug)]
+struct WorkReport {
+    at: TimePoint,
+    work: Vec<WaitingWork>,
+}
+
+/// Newest reports of all entries, and their sums.
+#[derive(Clone, Debug, Default)]
+pub struct WorkBoard {
+    reports: HashMap<Arc<str>, WorkReport>,
+    totals: HashMap<EndpointMark, u64>,
+}
+
+impl WorkBoard {
+    /// Takes the report of `entry` in place of its last one. Returns what waits for the others.
+    pub fn exchange(
+        &mut self,
+        now: TimePoint,
+        entry: &Arc<str>,
+        work: Vec<WaitingWork>,
+    ) -> Vec<WaitingWork> {
+        self.drop_old(now);
+        self.drop_report(entry);
+        let others = self.totals.iter().map(|(endpoint, total)| WaitingWork {
+            endpoint: *endpoint,
+            work_ms: u32::try_from(*total).unwrap_or(u32::MAX),
+        });
+        let others: Vec<WaitingWork> = others.collect();
+        for item in &work {
+            *self.totals.entry(item.endpoint).or_default() += u64::from(item.work_ms);
+        }
+        let report = WorkReport { at: now, work };
+        self.reports.insert(Arc::clone(entry), report);
+        others
+    }
+
+    fn drop_old(&mut self, now: TimePoint) {
+        let is_old = |report: &WorkReport| now.since(report.at) >= REPORT_LIFE;
+        let old = self.reports.iter().filter(|(_, report)| is_old(report));
+        let old: Vec<Arc<str>> = old.map(|(entry, _)| Arc::clone(entry)).collect();
+        for entry in old {
+            self.drop_report(&entry);
+        }
+    }
+
+    fn drop_report(&mut self, entry: &str) {
+        let Some(report) = self.reports.remove(entry) else {
+            return;
+        };
+        for item in report.work {
+            if let Some(total) = self.totals.get_mut(&item.endpoint) {
+                *total = total.saturating_sub(u64::from(item.work_ms));
+            }
+        }
+        self.totals.retain(|_, total| *total > 0);
+    }
+}
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -2,6 +2,7 @@
 //! decisions that entries take on it for each call.
 
 mod allowance;
+mod board;
 mod declaration;
 mod directory;
 mod health;
@@ -15,6 +16,7 @@
 mod verdict;
 
 pub use allowance::{ColdAllowance, RepeatBudget, RepeatSettings};
+pub use board::{EndpointMark, WaitingWork, WorkBoard, endpoint_mark};
 pub use declaration::{
     CallKind, CallerLimits, DeclarationFinding, ModelRule, RouteDeclaration, RouteRule,
     ServiceRule, ServiceShare, WorkspaceRule,
--- a/crates/core/src/routing/pressure.rs
+++ b/crates/core/src/routing/pressure.rs
@@ -1,8 +1,8 @@
 //! How long an endpoint keeps a new call waiting, from what this entry sees of it.
 //!
 //! An endpoint reads prompts one after the other between the tokens of all that it runs, so the
-//! number of its calls says little. What counts is the work that waits, and the delay that the
-//! last calls met, those of other entries included.
+//! number of its calls says little. What counts is the work that waits, that of other entries
+//! included, and the delay that the last calls met.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -12,6 +12,8 @@
 
 use crate::time::TimePoint;
 
+use super::board::{EndpointMark, WaitingWork, endpoint_mark};
+
 /// How pressure is measured.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -40,6 +42,7 @@
 
 #[derive(Clone, Copy, Debug, Default)]
 struct EndpointPressure {
+    mark: EndpointMark,
     pending: PendingWork,
     delay_ms: f64,
     delay_at: TimePoint,
@@ -50,6 +53,8 @@
 pub struct PressureBook {
     settings: PressureSettings,
     endpoints: HashMap<Arc<str>, EndpointPressure>,
+    others: HashMap<EndpointMark, f64>,
+    others_at: TimePoint,
 }
 
 impl PressureBook {
@@ -61,9 +66,46 @@
         }
     }
 
+    fn endpoint(&mut self, id: &Arc<str>) -> &mut EndpointPressure {
+        let unknown = || EndpointPressure {
+            mark: endpoint_mark(id),
+            ..EndpointPressure::default()
+        };
+        self.endpoints.entry(Arc::clone(id)).or_insert_with(unknown)
+    }
+
+    /// What this entry has sent that has not begun to answer.
+    pub fn waiting_work(&self) -> Vec<WaitingWork> {
+        let waiting = self.endpoints.values();
+        let waiting = waiting.filter(|endpoint| endpoint.pending.work_ms >= 1.0);
+        let item = |endpoint: &EndpointPressure| WaitingWork {
+            endpoint: endpoint.mark,
+            work_ms: endpoint.pending.work_ms as u32,
+        };
+        waiting.map(item).collect()
+    }
+
+    /// Notes what waits for other entries as of `now`.
+    pub fn note_others(&mut self, now: TimePoint, others: &[WaitingWork]) {
+        let items = others.iter();
+        self.others = items
+            .map(|item| (item.endpoint, f64::from(item.work_ms)))
+            .collect();
+        self.others_at = now;
+    }
+
+    /// What waits for other entries at `id`; the endpoint works on it as time passes.
+    fn others_ms(&self, now: TimePoint, id: &str) -> f64 {
+        let Some(reported) = self.others.get(&endpoint_mark(id)) else {
+            return 0.0;
+        };
+        let age_ms = now.since(self.others_at).as_secs_f64() * 1_000.0;
+        (reported - age_ms).max(0.0)
+    }
+
     /// Notes a call of `work_ms` sent to `id`.
     pub fn begin(&mut self, id: &Arc<str>, work_ms: f64) {
-        let pending = &mut self.endpoints.entry(Arc::clone(id)).or_default().pending;
+        let pending = &mut self.endpoint(id).pending;
         pending.calls += 1;
         pending.work_ms += work_ms;
     }
@@ -86,7 +128,7 @@
         let PressureSettings { weight, .. } = self.settings;
         let known = self.delay_ms(now, id);
         let seen = (took.as_secs_f64() * 1_000.0 - work_ms).max(0.0);
-        let endpoint = self.endpoints.entry(Arc::clone(id)).or_default();
+        let endpoint = self.endpoint(id);
         endpoint.delay_ms = known * (1.0 - weight) + seen * weight;
         endpoint.delay_at = now;
     }
@@ -104,7 +146,7 @@
             .endpoints
             .get(id)
             .map_or(0.0, |endpoint| endpoint.pending.work_ms);
-        own.max(self.delay_ms(now, id))
+        (own + self.others_ms(now, id)).max(self.delay_ms(now, id))
     }
 
     /// Forgets an endpoint.
--- a/crates/core/tests/routing/main.rs
+++ b/crates/core/tests/routing/main.rs
@@ -1,6 +1,7 @@
 //! Routes, endpoints and roll-outs: the state that keepers agree on and what entries decide.
 
 mod allowance;
+mod board;
 mod declaration;
 mod directory;
 mod fixture;
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -202,9 +202,12 @@
             Method::Credit => Box::pin(rpc::answer(payload, move |call: CreditCall| async move {
                 credit::lend(&context, &call)
             })),
-            Method::Replicate | Method::Run | Method::Beat | Method::Watch | Method::Join => {
-                Box::pin(async { (Status::NotHere, Vec::new()) })
-            }
+            Method::Replicate
+            | Method::Run
+            | Method::Beat
+            | Method::Watch
+            | Method::Join
+            | Method::Share => Box::pin(async { (Status::NotHere, Vec::new()) }),
         };
         answer
     })
--- a/crates/entry/src/forward/call.rs
+++ b/crates/entry/src/forward/call.rs
@@ -9,6 +9,7 @@
 use super::dialect::EntryDialect;
 use super::links::LinkPool;
 use super::settings::ForwardSettings;
+use super::share::WorkShare;
 
 /// Shared parts of the request path.
 pub struct ForwardGate {
@@ -20,6 +21,8 @@
     pub ladder: LadderSettings,
     /// Connections to endpoints.
     pub links: LinkPool,
+    /// Exchange with the other entries of what waits at endpoints.
+    pub share: WorkShare,
     /// Whether this entry is shutting down.
     pub leaving: watch::Receiver<bool>,
     /// Whether it refuses new calls for that reason.
@@ -43,6 +46,7 @@
             dialect,
             ladder: settings.ladder.clone(),
             links: LinkPool::default(),
+            share: WorkShare::default(),
             leaving,
             refusing,
             informed: watch::Sender::new(false),
--- a/crates/entry/src/forward/daemon.rs
+++ b/crates/entry/src/forward/daemon.rs
@@ -18,6 +18,7 @@
 use super::dialect::EntryDialect;
 use super::door::{OpenCount, serve_callers, serve_readiness};
 use super::settings::ForwardSettings;
+use super::share::share_work;
 use super::watch::{SeedList, watch_keepers};
 
 /// Time between two sweeps of idle connections.
@@ -89,6 +90,9 @@
         let readiness_at = address_of(&readiness)?;
         let caller = PeerCaller::start(cluster_proof(&settings.cluster_secret))
             .map_err(|error| StartError::Io("rpc client", error))?;
+        // Apart from the caller that waits for news: a silent link must not delay the other.
+        let sharer = PeerCaller::start(cluster_proof(&settings.cluster_secret))
+            .map_err(|error| StartError::Io("rpc client", error))?;
         let (leaving, is_leaving) = watch::channel(false);
         let (draining, is_draining) = watch::channel(false);
         let (refusing, is_refusing) = watch::channel(false);
@@ -106,6 +110,7 @@
             caller,
             SeedList::new(settings, seeds),
         ));
+        tokio::spawn(share_work(Arc::clone(&gate), sharer));
         tokio::spawn(sweep_links(Arc::clone(&gate)));
         spdlog::info!(
             "entry: {} serves callers at {} in {}.",
--- a/crates/entry/src/forward/exchange.rs
+++ b/crates/entry/src/forward/exchange.rs
@@ -60,6 +60,7 @@
         work_ms: f64,
     ) -> Self {
         gate.book().begin(now, &endpoint.id, work_ms);
+        gate.share.note_change();
         Self {
             gate: Arc::clone(gate),
             endpoint,
@@ -74,6 +75,7 @@
     pub fn note_begun(&mut self) {
         if let Some(work_ms) = self.work_ms.take() {
             self.gate.book().end_work(&self.endpoint.id, work_ms);
+            self.gate.share.note_change();
         }
     }
 }
--- a/crates/entry/src/forward/mod.rs
+++ b/crates/entry/src/forward/mod.rs
@@ -17,4 +17,5 @@
 mod pipeline;
 mod relay;
 pub mod settings;
+mod share;
 mod watch;
--- a/crates/entry/src/forward/outcomes.rs
+++ b/crates/entry/src/forward/outcomes.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use chestnutloft_core::routing::{ArmCount, ArmKey, EndpointPhase};
+use chestnutloft_core::routing::{ArmCount, ArmKey, EndpointPhase, WaitingWork};
 use chestnutloft_core::time::TimePoint;
 
 use super::book::{EntryBook, LoadReport};
@@ -27,6 +27,16 @@
         }
     }
 
+    /// What this entry has sent that has not begun to answer.
+    pub fn waiting_work(&self) -> Vec<WaitingWork> {
+        self.pressure.waiting_work()
+    }
+
+    /// Notes what waits for other entries.
+    pub fn note_others(&mut self, now: TimePoint, others: &[WaitingWork]) {
+        self.pressure.note_others(now, others);
+    }
+
     /// Notes that an attempt is sent.
     pub fn begin(&mut self, now: TimePoint, id: &Arc<str>, work_ms: f64) {
         self.pressure.begin(id, work_ms);
--- a/crates/entry/src/forward/pipeline.rs
+++ b/crates/entry/src/forward/pipeline.rs
@@ -144,6 +144,7 @@
     /// Chooses an endpoint, waiting a little where none takes work.
     pub async fn place(&mut self) -> Result<ChosenEndpoint, CallRefusal> {
         let began_at = clock::now();
+        self.gate.share.freshen(began_at).await;
         loop {
             let now = clock::now();
             if self.call.left(now) < MIN_LEFT {
--- a/crates/entry/src/forward/watch.rs
+++ b/crates/entry/src/forward/watch.rs
@@ -115,6 +115,7 @@
                 peers,
                 bound_sessions,
             }) => {
+                self.gate.share.leader.send_replace(Some(target.clone()));
                 self.target = Some(target);
                 self.note_touch(now, true, "");
                 if let Some(marks) = bound_sessions {
@@ -132,6 +133,7 @@
             Err(error) => {
                 self.turn();
                 self.target = None;
+                self.gate.share.leader.send_replace(None);
                 self.note_touch(now, false, &error.to_string());
                 tokio::time::sleep(RETRY_WAIT).await;
             }
--- a/crates/keeper/src/daemon.rs
+++ b/crates/keeper/src/daemon.rs
@@ -4,7 +4,7 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use ractor::{Actor, ActorRef};
@@ -13,10 +13,12 @@
 use tokio::task::JoinHandle;
 
 use chestnutloft_core::consensus::{MemberConfig, ReplicaCore, ReplicaId};
+use chestnutloft_core::routing::WorkBoard;
 use chestnutloft_core::time::TimePoint;
 use chestnutloft_wire::auth::cluster_proof;
 use chestnutloft_wire::message::{
-    BeatReply, JoinCall, JoinReply, ReplicateCall, RunCall, RunReply, WatchReply,
+    BeatReply, JoinCall, JoinReply, ReplicateCall, RunCall, RunReply, ShareCall, ShareReply,
+    WatchReply,
 };
 use chestnutloft_wire::rpc::{self, CallAnswer, CallHandler, Method, Status};
 use chestnutloft_wire::rpc_client::PeerCaller;
@@ -308,8 +310,10 @@
 }
 
 fn call_handler(replica: ActorRef<ReplicaMessage>) -> CallHandler {
+    let board = Arc::new(Mutex::new(WorkBoard::default()));
     Arc::new(move |method, payload| {
         let replica = replica.clone();
+        let board = Arc::clone(&board);
         let answer: Pin<Box<dyn Future<Output = CallAnswer> + Send>> = match method {
             Method::Replicate => Box::pin(rpc::answer(
                 payload,
@@ -333,6 +337,11 @@
                 let make = |reply| ReplicaMessage::Join(call, reply);
                 ask(&replica, JoinReply::Ask(Vec::new()), make).await
             })),
+            Method::Share => Box::pin(rpc::answer(payload, move |call: ShareCall| async move {
+                let mut board = board.lock().unwrap_or_else(PoisonError::into_inner);
+                let others = board.exchange(clock::now(), &call.entry, call.work);
+                ShareReply { others }
+            })),
             Method::Exchange | Method::Credit => Box::pin(async { (Status::NotHere, Vec::new()) }),
         };
         answer
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -14,6 +14,7 @@
     credit @4;     # entry to entry: slots of cold endpoints
     watch @5;      # entry to keeper: waits for news of the routing state
     join @6;       # keeper to keeper: asks to become a member
+    share @7;      # entry to keeper: work that waits at endpoints
   }
 
   enum Status {
--- a/crates/wire/src/peer_capnp.rs
+++ b/crates/wire/src/peer_capnp.rs
@@ -194,6 +194,7 @@
         Credit = 4,
         Watch = 5,
         Join = 6,
+        Share = 7,
     }
 
     impl ::capnp::introspect::Introspect for Method {
@@ -232,6 +233,7 @@
                 4 => ::core::result::Result::Ok(Self::Credit),
                 5 => ::core::result::Result::Ok(Self::Watch),
                 6 => ::core::result::Result::Ok(Self::Join),
+                7 => ::core::result::Result::Ok(Self::Share),
                 n => ::core::result::Result::Err(::capnp::NotInSchema(n)),
             }
         }
@@ -246,7 +248,7 @@
         const TYPE_ID: u64 = 0xf40e_8d8e_b8d6_3b2eu64;
     }
     mod method {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 51] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(46, 59, 214, 184, 142, 141, 14, 244),
             ::capnp::word(16, 0, 0, 0, 2, 0, 0, 0),
@@ -256,34 +258,37 @@
             ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 199, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
             ::capnp::word(77, 101, 116, 104, 111, 100, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(28, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(32, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(89, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(85, 0, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(65, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(77, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(57, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(53, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(65, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(5, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(57, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(49, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 112, 108, 105, 99, 97, 116),
             ::capnp::word(101, 0, 0, 0, 0, 0, 0, 0),
@@ -294,6 +299,7 @@
             ::capnp::word(99, 114, 101, 100, 105, 116, 0, 0),
             ::capnp::word(119, 97, 116, 99, 104, 0, 0, 0),
             ::capnp::word(106, 111, 105, 110, 0, 0, 0, 0),
+            ::capnp::word(115, 104, 97, 114, 101, 0, 0, 0),
         ];
         pub(crate) fn get_annotation_types(
             child_index: Option<u16>,
