Estimate a call's work without its wait, and log how each attempt ends

Cause: the work of a call was the lower quartile of all times that calls took, the wait among them, for all tokens of the prompt. Under load it grew with the queue, and the pool looked twice as busy as it was. Besides, streams that ended or whose caller left had no line in the log, so their lengths could not be told from it.

Change: work is the median of the times at endpoints where nothing waits, for the tokens that the endpoint has not cached as far as known. Each attempt has a line for its end: an answer, a failure, a larger model, or a caller that has left.

Seen in the new lines: under load an event of a stream takes 150 to 250 ms on the smallest model as on the largest (40 when idle): each endpoint runs both, and the steps of the large one hold up the small one.

--- a/crates/core/src/routing/placement.rs
+++ b/crates/core/src/routing/placement.rs
@@ -107,7 +107,7 @@
 }
 
 /// Whether `seat` is among those of its failure domain that keep the prefix.
-fn keeps_prefix(
+pub fn keeps_prefix(
     settings: &PlacementSettings,
     wish: &PlacementWish<'_>,
     seats: &[EndpointSeat<'_>],
--- a/crates/core/src/routing/pressure.rs
+++ b/crates/core/src/routing/pressure.rs
@@ -155,17 +155,25 @@
     }
 }
 
-/// Quantile of the times that estimates follow: well below the median, so that an estimate is
-/// the work of a call without the wait before it.
-const QUANTILE: f64 = 0.25;
 /// Step of an estimate towards each new time, as a share.
-const STEP: f64 = 0.08;
+const STEP: f64 = 0.05;
+/// Part of the step for a time that may hold a wait: it can only show that the work is less.
+const WAITED_STEP: f64 = 0.3;
 /// Tokens that every call costs beside those it reads.
 const BASE_TOKENS: f64 = 400.0;
 /// First estimate, in milliseconds for each token.
 const FIRST_MS_PER_TOKEN: f64 = 0.02;
 
-/// How long calls of each kind take to read, learnt from the times that they took.
+/// Whether work waited at an endpoint when a call was sent there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum QueueState {
+    /// Nothing is known to have waited: the time taken is that of the call's own work.
+    Idle,
+    /// The time taken may hold a wait.
+    Waiting,
+}
+
+/// How long calls of each kind take to read: the median of the times at idle endpoints.
 #[derive(Clone, Debug, Default)]
 pub struct WorkEstimate {
     ms_per_token: HashMap<u64, f64>,
@@ -179,13 +187,15 @@
     }
 
     /// Notes that a call which read `tokens` took `took`.
-    pub fn note(&mut self, kind: u64, tokens: f64, took: Duration) {
+    pub fn note(&mut self, kind: u64, tokens: f64, took: Duration, queue: QueueState) {
         let seen = took.as_secs_f64() * 1_000.0 / (tokens + BASE_TOKENS);
         let rate = self.ms_per_token.entry(kind).or_insert(FIRST_MS_PER_TOKEN);
-        if seen < *rate {
-            *rate *= 1.0 - STEP * (1.0 - QUANTILE);
-        } else {
-            *rate *= 1.0 + STEP * QUANTILE;
-        }
+        let is_less = seen < *rate;
+        *rate *= match (queue, is_less) {
+            (QueueState::Idle, true) => 1.0 - STEP,
+            (QueueState::Idle, false) => 1.0 + STEP,
+            (QueueState::Waiting, true) => 1.0 - STEP * WAITED_STEP,
+            (QueueState::Waiting, false) => 1.0,
+        };
     }
 }
--- a/crates/core/tests/routing/placement.rs
+++ b/crates/core/tests/routing/placement.rs
@@ -2,8 +2,8 @@
 use std::time::Duration;
 
 use chestnutloft_core::routing::{
-    EndpointSeat, PlacementSettings, PlacementWish, PressureBook, PressureSettings, WorkEstimate,
-    choose_seat,
+    EndpointSeat, PlacementSettings, PlacementWish, PressureBook, PressureSettings, QueueState,
+    WorkEstimate, choose_seat,
 };
 use chestnutloft_core::time::TimePoint;
 
@@ -124,9 +124,14 @@
     let mut work = WorkEstimate::default();
     for step in 0..2_000_u64 {
         let wait = if step % 3 == 0 { 0 } else { 900 };
-        work.note(1, 3_600.0, Duration::from_millis(200 + wait));
+        let queue = if wait == 0 {
+            QueueState::Idle
+        } else {
+            QueueState::Waiting
+        };
+        work.note(1, 3_600.0, Duration::from_millis(200 + wait), queue);
     }
 
     let learnt = work.work_ms(1, 3_600.0);
-    assert!((150.0..400.0).contains(&learnt), "{learnt}");
+    assert!((180.0..230.0).contains(&learnt), "{learnt}");
 }
--- a/crates/entry/src/forward/choice.rs
+++ b/crates/entry/src/forward/choice.rs
@@ -6,8 +6,9 @@
 
 use chestnutloft_core::hash::key_hash;
 use chestnutloft_core::routing::{
-    ColdAllowance, EndpointPhase, EndpointSeat, PlacementWish, PoolPressure, RolloutStage,
-    RolloutState, ServiceRule, SessionMark, VersionWish, choose_seat, session_mark,
+    ColdAllowance, EndpointPhase, EndpointSeat, PlacementWish, PoolPressure, QueueState,
+    RolloutStage, RolloutState, ServiceRule, SessionMark, VersionWish, choose_seat, keeps_prefix,
+    session_mark,
 };
 use chestnutloft_core::time::TimePoint;
 
@@ -59,7 +60,7 @@
 }
 
 /// An endpoint chosen for an attempt.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct ChosenEndpoint {
     /// Its name.
     pub id: Arc<str>,
@@ -67,6 +68,37 @@
     pub address: Arc<str>,
     /// Version.
     pub version: Arc<str>,
+    /// What the attempt has to read there and how long that takes.
+    pub reading: PromptReading,
+}
+
+/// What an endpoint has to read of a prompt, as far as known.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct PromptReading {
+    /// Names the model.
+    pub kind: u64,
+    /// Tokens that it has not cached.
+    pub tokens: f64,
+    /// Time that they take, in milliseconds.
+    pub work_ms: f64,
+    /// Time before that in which it works for other calls, in milliseconds.
+    pub wait_ms: f64,
+}
+
+impl PromptReading {
+    /// Time after which the answer is expected to begin.
+    pub fn expected(&self) -> Duration {
+        Duration::from_secs_f64((self.wait_ms + self.work_ms) / 1_000.0)
+    }
+
+    /// Whether the attempt had to wait.
+    pub fn queue(&self) -> QueueState {
+        if self.wait_ms < 1.0 {
+            QueueState::Idle
+        } else {
+            QueueState::Waiting
+        }
+    }
 }
 
 /// Why no endpoint can take a call now.
@@ -186,10 +218,24 @@
         };
         let chosen = choose_seat(&self.placement, &wish, &seats).ok_or(NoEndpoint::NoneReady)?;
         let notice = &fit[chosen].notice;
+        let is_cached = keeps_prefix(&self.placement, &wish, &seats, &seats[chosen]);
+        let prompt = &request.prompt;
+        let tokens = if is_cached {
+            prompt.own_tokens
+        } else {
+            prompt.tokens()
+        };
+        let reading = PromptReading {
+            kind: prompt.kind,
+            tokens,
+            work_ms: self.work.work_ms(prompt.kind, tokens),
+            wait_ms: seats[chosen].wait_ms,
+        };
         Ok(ChosenEndpoint {
             id: Arc::clone(&notice.id),
             address: Arc::clone(&notice.address),
             version: Arc::clone(&notice.version),
+            reading,
         })
     }
 
@@ -206,17 +252,6 @@
         }
     }
 
-    /// Work of a call before its answer begins, in milliseconds, as far as known.
-    pub fn work_ms(&self, prompt: &PromptSize) -> f64 {
-        self.work.work_ms(prompt.kind, prompt.tokens())
-    }
-
-    /// Time after which a call sent to `id` now is expected to begin to answer.
-    pub fn expected(&self, now: TimePoint, id: &str, prompt: &PromptSize) -> Duration {
-        let expected_ms = self.pressure.wait_ms(now, id) + self.work_ms(prompt);
-        Duration::from_secs_f64(expected_ms / 1_000.0)
-    }
-
     /// Endpoints that are neither ejected nor tried already, as far as there are any.
     fn fittest<'a>(
         &self,
--- a/crates/entry/src/forward/exchange.rs
+++ b/crates/entry/src/forward/exchange.rs
@@ -44,6 +44,8 @@
 /// Counts an attempt as under way at its endpoint while it lives.
 pub struct AttemptTicket {
     gate: Arc<ForwardGate>,
+    call: String,
+    is_settled: bool,
     /// The endpoint.
     pub endpoint: ChosenEndpoint,
     /// When the attempt began.
@@ -56,13 +58,16 @@
     fn begin(
         gate: &Arc<ForwardGate>,
         now: TimePoint,
+        call: &str,
         endpoint: ChosenEndpoint,
-        work_ms: f64,
     ) -> Self {
+        let work_ms = endpoint.reading.work_ms;
         gate.book().begin(now, &endpoint.id, work_ms);
         gate.share.note_change();
         Self {
             gate: Arc::clone(gate),
+            call: call.to_owned(),
+            is_settled: false,
             endpoint,
             began_at: now,
             work_ms: Some(work_ms),
@@ -71,6 +76,11 @@
 }
 
 impl AttemptTicket {
+    /// Notes that the attempt has its end in the log: an answer, a failure or a larger model.
+    pub fn settle(&mut self) {
+        self.is_settled = true;
+    }
+
     /// Notes that the answer has begun.
     pub fn note_begun(&mut self) {
         if let Some(work_ms) = self.work_ms.take() {
@@ -84,6 +94,14 @@
     fn drop(&mut self) {
         self.note_begun();
         self.gate.book().end(&self.endpoint.id);
+        if !self.is_settled {
+            spdlog::info!(
+                "call {}: the caller has left; {} is let go of after {} ms.",
+                self.call,
+                self.endpoint.id,
+                clock::now().since(self.began_at).as_millis()
+            );
+        }
     }
 }
 
@@ -105,8 +123,12 @@
     /// Keeps the connection for later calls; the body must have arrived whole.
     pub fn release(self, now: TimePoint) {
         let Self {
-            head, ticket, link, ..
+            head,
+            mut ticket,
+            link,
+            ..
         } = self;
+        ticket.settle();
         if head.link != LinkFate::Closes {
             let address = &ticket.endpoint.address;
             ticket.gate.links.put(now, address, link);
@@ -124,14 +146,17 @@
     endpoint: ChosenEndpoint,
     model: Option<&str>,
     resume_after: Option<u64>,
-    work_ms: f64,
     wait: Duration,
 ) -> Result<LiveAnswer, AttemptFailure> {
-    let ticket = AttemptTicket::begin(gate, clock::now(), endpoint, work_ms);
+    let mut ticket = AttemptTicket::begin(gate, clock::now(), &call.head.id, endpoint);
     let exchange = exchange(gate, call, &ticket.endpoint, model, resume_after);
-    let (response, mut link) = match tokio::time::timeout(wait, exchange).await {
-        Ok(outcome) => outcome?,
-        Err(_) => return Err(AttemptFailure::Silent(wait)),
+    let outcome = tokio::time::timeout(wait, exchange).await;
+    let (response, mut link) = match outcome.unwrap_or(Err(AttemptFailure::Silent(wait))) {
+        Ok(answered) => answered,
+        Err(failure) => {
+            ticket.settle();
+            return Err(failure);
+        }
     };
     let (parts, body) = response.into_parts();
     let head = (gate.dialect.read_answer)(&parts, &call.head.id);
@@ -148,7 +173,15 @@
     check_answer(gate, answer)
 }
 
-fn check_answer(gate: &ForwardGate, answer: LiveAnswer) -> Result<LiveAnswer, AttemptFailure> {
+fn check_answer(gate: &ForwardGate, mut answer: LiveAnswer) -> Result<LiveAnswer, AttemptFailure> {
+    let checked = judge_answer(gate, &answer);
+    if checked.is_err() {
+        answer.ticket.settle();
+    }
+    checked.map(|()| answer)
+}
+
+fn judge_answer(gate: &ForwardGate, answer: &LiveAnswer) -> Result<(), AttemptFailure> {
     let head = &answer.head;
     let id = &answer.ticket.endpoint.id;
     let now = clock::now();
@@ -180,7 +213,7 @@
     if let Some(load) = head.load {
         gate.book().note_load(now, id, load);
     }
-    Ok(answer)
+    Ok(())
 }
 
 async fn exchange(
--- a/crates/entry/src/forward/outcomes.rs
+++ b/crates/entry/src/forward/outcomes.rs
@@ -7,24 +7,23 @@
 use chestnutloft_core::time::TimePoint;
 
 use super::book::{EntryBook, LoadReport};
-use super::choice::PromptSize;
+use super::choice::ChosenEndpoint;
 use super::dialect::ReportedLoad;
 
 impl EntryBook {
-    /// Notes that a call sent to `id` has begun to answer after `took`, or was given up then.
-    pub fn note_begun(
-        &mut self,
-        now: TimePoint,
-        id: &Arc<str>,
-        prompt: &PromptSize,
-        took: Duration,
-        is_answered: bool,
-    ) {
-        let work_ms = self.work_ms(prompt);
-        self.pressure.note_delay(now, id, work_ms, took);
-        if is_answered {
-            self.work.note(prompt.kind, prompt.tokens(), took);
-        }
+    /// Notes that an attempt has begun to answer after `took`.
+    pub fn note_begun(&mut self, now: TimePoint, endpoint: &ChosenEndpoint, took: Duration) {
+        let reading = &endpoint.reading;
+        self.pressure
+            .note_delay(now, &endpoint.id, reading.work_ms, took);
+        self.work
+            .note(reading.kind, reading.tokens, took, reading.queue());
+    }
+
+    /// Notes that an attempt was given up after `took`.
+    pub fn note_silence(&mut self, now: TimePoint, endpoint: &ChosenEndpoint, took: Duration) {
+        self.pressure
+            .note_delay(now, &endpoint.id, endpoint.reading.work_ms, took);
     }
 
     /// What this entry has sent that has not begun to answer.
--- a/crates/entry/src/forward/pipeline.rs
+++ b/crates/entry/src/forward/pipeline.rs
@@ -119,8 +119,8 @@
                 Err(refusal) => return kept.unwrap_or_else(|| self.refuse(&refusal)),
             };
             match self.attempt(endpoint, self.call.head.resume_after).await {
-                Ok(answer) if self.call.route.kind.is_stream() && is_success(&answer) => {
-                    if self.climbs(&answer) {
+                Ok(mut answer) if self.call.route.kind.is_stream() && is_success(&answer) => {
+                    if self.climbs(&mut answer) {
                         continue;
                     }
                     match StreamRelay::begin(self, answer).await {
@@ -199,20 +199,18 @@
         resume_after: Option<u64>,
     ) -> Result<LiveAnswer, AttemptFailure> {
         let now = clock::now();
-        let prompt = self.prompt();
-        let (expected, work_ms) = {
-            let book = self.gate.book();
-            let expected = book.expected(now, &endpoint.id, &prompt);
-            (expected, book.work_ms(&prompt))
-        };
-        let wait = self.answer_wait(now, expected);
+        let reading = &endpoint.reading;
+        let wait = self.answer_wait(now, reading.expected());
         spdlog::info!(
-            "call {}: session {:016x} goes to {} with version {}, expected to begin in {} ms.",
+            "call {}: session {:016x} goes to {} with version {}, rung {}, waits {:.0} ms and reads {} tokens in {:.0} ms.",
             self.call.head.id,
             self.call.session_key(),
             endpoint.id,
             endpoint.version,
-            expected.as_millis()
+            self.rung,
+            reading.wait_ms,
+            reading.tokens,
+            reading.work_ms
         );
         self.tried.insert(Arc::clone(&endpoint.id));
         self.runs += 1;
@@ -223,7 +221,6 @@
             endpoint.clone(),
             model.as_deref(),
             resume_after,
-            work_ms,
             wait,
         );
         let outcome = sent.await;
@@ -250,10 +247,7 @@
             AttemptFailure::NotRun { .. } => {}
             AttemptFailure::Broken(_) => self.note_bad_answer(now, endpoint),
             AttemptFailure::Silent(wait) => {
-                let prompt = self.prompt();
-                let mut book = self.gate.book();
-                book.note_begun(now, &endpoint.id, &prompt, *wait, false);
-                drop(book);
+                self.gate.book().note_silence(now, endpoint, *wait);
                 self.note_bad_answer(now, endpoint);
             }
         }
@@ -275,7 +269,7 @@
         let took = now.since(ticket.began_at);
         let arm = self.arm();
         let mut book = self.gate.book();
-        book.note_begun(now, &ticket.endpoint.id, &self.prompt(), took, true);
+        book.note_begun(now, &ticket.endpoint, took);
         book.health
             .note_success(&ticket.endpoint.id, key_hash(arm.as_bytes()), took);
         let version = &ticket.endpoint.version;
@@ -349,7 +343,7 @@
     }
 
     /// Whether the answer is dropped for that of a larger model.
-    fn climbs(&mut self, answer: &LiveAnswer) -> bool {
+    fn climbs(&mut self, answer: &mut LiveAnswer) -> bool {
         if self.call.head.model != ModelWish::Any {
             return false;
         }
@@ -375,6 +369,7 @@
             pool.load
         );
         self.note_good_answer(now, answer);
+        answer.ticket.settle();
         self.rung = next;
         self.tried.clear();
         true
--- a/crates/entry/src/forward/relay.rs
+++ b/crates/entry/src/forward/relay.rs
@@ -179,7 +179,15 @@
             return StreamStep::Cut(AttemptFailure::Broken(reason));
         }
         if let Some(answer) = self.answer.take() {
-            answer.release(clock::now());
+            let now = clock::now();
+            spdlog::info!(
+                "call {}: the stream from {} ends after {} events, {} ms after the call came.",
+                self.run.call.head.id,
+                answer.ticket.endpoint.id,
+                self.events,
+                now.since(self.run.call.came_at).as_millis()
+            );
+            answer.release(now);
         }
         StreamStep::End
     }
@@ -201,7 +209,8 @@
     }
 
     fn drop_answer(&mut self, failure: &AttemptFailure) {
-        if let Some(answer) = self.answer.take() {
+        if let Some(mut answer) = self.answer.take() {
+            answer.ticket.settle();
             spdlog::warn!(
                 "call {}: {} broke off after {} events: {failure:?}.",
                 self.run.call.head.id,
