Keep calls of the smallest model at endpoints of their own

Change: a fifth of a service's endpoints, the same ones on each entry by a hash of their names, are preferred by calls of the smallest rung, the others by larger ones; 300 ms of expected time is the price of the other lane. Prefixes are kept within a lane.

--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -26,7 +26,9 @@
 };
 pub use health::{HealthSettings, PoolHealth};
 pub use ladder::{LadderSettings, ModelLadder, PoolPressure};
-pub use placement::{EndpointSeat, PlacementSettings, PlacementWish, choose_seat, keeps_prefix};
+pub use placement::{
+    EndpointSeat, ModelLane, PlacementSettings, PlacementWish, SeatChoice, choose_seat,
+};
 pub use pressure::{PressureBook, PressureSettings, QueueState, WorkEstimate};
 pub use rollout::{RolloutOrder, RolloutStage, RolloutState, RolloutTiming};
 pub use sessions::{SessionMark, SessionVersions, VersionWish, session_mark};
--- a/crates/core/src/routing/placement.rs
+++ b/crates/core/src/routing/placement.rs
@@ -1,5 +1,9 @@
-//! Choice of an endpoint: the shortest expected time, with the failure domain and cached
-//! prefixes as terms.
+//! Choice of an endpoint: the shortest expected time, with the failure domain, cached prefixes
+//! and the models that it runs as terms.
+//!
+//! An endpoint generates one token for each of its calls in turn. A call of a small model that
+//! shares it with calls of a large one is held up by their steps, so the two are kept apart: a
+//! few endpoints, the same ones on each entry, form the lane of the smallest model.
 
 use serde::{Deserialize, Serialize};
 
@@ -21,6 +25,10 @@
     pub prefix_weight: f64,
     /// Endpoints of a failure domain that keep a prefix.
     pub prefix_copies: usize,
+    /// Share of the endpoints that form the lane of the smallest model.
+    pub small_lane_share: f64,
+    /// Price of an endpoint in the other lane, in milliseconds.
+    pub other_lane_ms: f64,
 }
 
 impl Default for PlacementSettings {
@@ -32,6 +40,8 @@
             trial_ms: 200.0,
             prefix_weight: 1.5,
             prefix_copies: 1,
+            small_lane_share: 0.2,
+            other_lane_ms: 300.0,
         }
     }
 }
@@ -55,6 +65,21 @@
     pub is_on_trial: bool,
 }
 
+/// Endpoints that a call of a model prefers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ModelLane {
+    /// All: the caller names the model, or there is none.
+    #[default]
+    Any,
+    /// Those of the smallest model.
+    Small,
+    /// Those of larger models.
+    Large,
+}
+
+/// Endpoints below which there are no lanes: each is needed for all models.
+const MIN_LANE_SEATS: usize = 3;
+
 /// What the call asks for.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct PlacementWish<'a> {
@@ -66,6 +91,17 @@
     pub prefix_ms: f64,
     /// Time to read the rest of the prompt, in milliseconds.
     pub own_ms: f64,
+    /// Lane of the model.
+    pub lane: ModelLane,
+}
+
+/// The endpoint chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SeatChoice {
+    /// Its place among the seats.
+    pub index: usize,
+    /// Whether it keeps the prompt's shared parts.
+    pub keeps_prefix: bool,
 }
 
 /// The best of `seats`, by expected time.
@@ -73,22 +109,33 @@
     settings: &PlacementSettings,
     wish: &PlacementWish<'_>,
     seats: &[EndpointSeat<'_>],
-) -> Option<usize> {
-    seats
-        .iter()
-        .enumerate()
-        .map(|(index, seat)| (index, expected_ms(settings, wish, seats, seat)))
+) -> Option<SeatChoice> {
+    let in_lane = lane_members(settings, wish.lane, seats);
+    let owners = prefix_owners(settings, wish, seats, &in_lane);
+    let expected = |index: usize| {
+        let other_lane_ms = if in_lane[index] {
+            0.0
+        } else {
+            settings.other_lane_ms
+        };
+        expected_ms(settings, wish, &seats[index], owners[index]) + other_lane_ms
+    };
+    (0..seats.len())
+        .map(|index| (index, expected(index)))
         .min_by(|(_, a), (_, b)| a.total_cmp(b))
-        .map(|(index, _)| index)
+        .map(|(index, _)| SeatChoice {
+            index,
+            keeps_prefix: owners[index],
+        })
 }
 
 fn expected_ms(
     settings: &PlacementSettings,
     wish: &PlacementWish<'_>,
-    seats: &[EndpointSeat<'_>],
     seat: &EndpointSeat<'_>,
+    keeps_prefix: bool,
 ) -> f64 {
-    let prefix_ms = if keeps_prefix(settings, wish, seats, seat) {
+    let prefix_ms = if keeps_prefix {
         0.0
     } else {
         wish.prefix_ms * settings.prefix_weight
@@ -106,18 +153,48 @@
         }
 }
 
-/// Whether `seat` is among those of its failure domain that keep the prefix.
-pub fn keeps_prefix(
+/// Which of `seats` belong to `lane`: by a hash of their names, so that entries agree.
+fn lane_members(
+    settings: &PlacementSettings,
+    lane: ModelLane,
+    seats: &[EndpointSeat<'_>],
+) -> Vec<bool> {
+    if lane == ModelLane::Any || seats.len() < MIN_LANE_SEATS {
+        return vec![true; seats.len()];
+    }
+    let small = (seats.len() as f64 * settings.small_lane_share).ceil() as usize;
+    let weights = seats
+        .iter()
+        .map(|seat| rendezvous_weight(b"small lane", seat.id.as_bytes()));
+    let weights: Vec<u64> = weights.collect();
+    let mut sorted = weights.clone();
+    sorted.sort_unstable_by(|a, b| b.cmp(a));
+    let lowest = sorted[..small].last().copied().unwrap_or(u64::MAX);
+    let is_member = |weight: &u64| (*weight >= lowest) == (lane == ModelLane::Small);
+    weights.iter().map(is_member).collect()
+}
+
+/// Which of `seats` are among those of their failure domain and lane that keep the prefix.
+fn prefix_owners(
     settings: &PlacementSettings,
     wish: &PlacementWish<'_>,
     seats: &[EndpointSeat<'_>],
-    seat: &EndpointSeat<'_>,
-) -> bool {
+    in_lane: &[bool],
+) -> Vec<bool> {
     let Some(prefix) = wish.prefix else {
-        return false;
+        return vec![false; seats.len()];
+    };
+    let weights = seats
+        .iter()
+        .map(|seat| rendezvous_weight(&prefix.to_le_bytes(), seat.id.as_bytes()));
+    let weights: Vec<u64> = weights.collect();
+    let is_owner = |index: usize| {
+        let is_ahead = |other: &usize| {
+            in_lane[*other]
+                && seats[*other].domain == seats[index].domain
+                && weights[*other] > weights[index]
+        };
+        in_lane[index] && (0..seats.len()).filter(is_ahead).count() < settings.prefix_copies
     };
-    let weight = |id: &str| rendezvous_weight(&prefix.to_le_bytes(), id.as_bytes());
-    let own = weight(seat.id);
-    let peers = seats.iter().filter(|other| other.domain == seat.domain);
-    peers.filter(|other| weight(other.id) > own).count() < settings.prefix_copies
+    (0..seats.len()).map(is_owner).collect()
 }
--- a/crates/core/tests/routing/placement.rs
+++ b/crates/core/tests/routing/placement.rs
@@ -1,9 +1,10 @@
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
 use chestnutloft_core::routing::{
-    EndpointSeat, PlacementSettings, PlacementWish, PressureBook, PressureSettings, QueueState,
-    WorkEstimate, choose_seat,
+    EndpointSeat, ModelLane, PlacementSettings, PlacementWish, PressureBook, PressureSettings,
+    QueueState, WorkEstimate, choose_seat,
 };
 use chestnutloft_core::time::TimePoint;
 
@@ -25,12 +26,13 @@
         prefix,
         prefix_ms: 100.0,
         own_ms: 50.0,
+        lane: ModelLane::Any,
     }
 }
 
 fn chosen(wish: &PlacementWish<'_>, seats: &[EndpointSeat<'_>]) -> String {
     let place = choose_seat(&PlacementSettings::default(), wish, seats).expect("seats");
-    seats[place].id.to_owned()
+    seats[place.index].id.to_owned()
 }
 
 #[test]
@@ -135,3 +137,57 @@
     let learnt = work.work_ms(1, 3_600.0);
     assert!((180.0..230.0).contains(&learnt), "{learnt}");
 }
+
+fn pool(ids: &[String]) -> Vec<EndpointSeat<'_>> {
+    ids.iter().map(|id| seat(id, "north")).collect()
+}
+
+fn lane(lane: ModelLane, ids: &[String], waits_ms: f64) -> BTreeSet<String> {
+    let choose = |key: u64| {
+        let wish = PlacementWish {
+            lane,
+            ..wish(Some(key))
+        };
+        let mut seats = pool(ids);
+        for seat in &mut seats {
+            seat.wait_ms = waits_ms;
+        }
+        chosen(&wish, &seats)
+    };
+    (0..400).map(choose).collect()
+}
+
+#[test]
+fn small_and_large_models_run_at_endpoints_of_their_own() {
+    let ids: Vec<String> = (0..9).map(|number| format!("i-{number}")).collect();
+
+    let small = lane(ModelLane::Small, &ids, 0.0);
+    let large = lane(ModelLane::Large, &ids, 0.0);
+
+    assert_eq!(small.len(), 2);
+    assert_eq!(large.len(), 7);
+    assert!(small.is_disjoint(&large));
+}
+
+#[test]
+fn a_call_leaves_its_lane_where_that_has_a_long_wait() {
+    let ids: Vec<String> = (0..9).map(|number| format!("i-{number}")).collect();
+    let small = lane(ModelLane::Small, &ids, 0.0);
+    let mut seats = pool(&ids);
+    for seat in &mut seats {
+        seat.wait_ms = if small.contains(seat.id) { 900.0 } else { 0.0 };
+    }
+    let wish = PlacementWish {
+        lane: ModelLane::Small,
+        ..wish(None)
+    };
+
+    assert!(!small.contains(&chosen(&wish, &seats)));
+}
+
+#[test]
+fn two_endpoints_serve_all_models() {
+    let ids: Vec<String> = (0..2).map(|number| format!("i-{number}")).collect();
+
+    assert_eq!(lane(ModelLane::Large, &ids, 0.0).len(), 2);
+}
--- a/crates/entry/src/forward/choice.rs
+++ b/crates/entry/src/forward/choice.rs
@@ -6,9 +6,8 @@
 
 use chestnutloft_core::hash::key_hash;
 use chestnutloft_core::routing::{
-    ColdAllowance, EndpointPhase, EndpointSeat, PlacementWish, PoolPressure, QueueState,
-    RolloutStage, RolloutState, ServiceRule, SessionMark, VersionWish, choose_seat, keeps_prefix,
-    session_mark,
+    ColdAllowance, EndpointPhase, EndpointSeat, ModelLane, PlacementWish, PoolPressure, QueueState,
+    RolloutStage, RolloutState, ServiceRule, SessionMark, VersionWish, choose_seat, session_mark,
 };
 use chestnutloft_core::time::TimePoint;
 
@@ -35,6 +34,8 @@
     pub session: u64,
     /// What the call reads.
     pub prompt: PromptSize,
+    /// Lane of its model.
+    pub lane: ModelLane,
     /// Endpoints that this call was sent to already.
     pub tried: &'a BTreeSet<Arc<str>>,
 }
@@ -215,12 +216,12 @@
             own_ms: self
                 .work
                 .work_ms(request.prompt.kind, request.prompt.own_tokens),
+            lane: request.lane,
         };
         let chosen = choose_seat(&self.placement, &wish, &seats).ok_or(NoEndpoint::NoneReady)?;
-        let notice = &fit[chosen].notice;
-        let is_cached = keeps_prefix(&self.placement, &wish, &seats, &seats[chosen]);
+        let notice = &fit[chosen.index].notice;
         let prompt = &request.prompt;
-        let tokens = if is_cached {
+        let tokens = if chosen.keeps_prefix {
             prompt.own_tokens
         } else {
             prompt.tokens()
@@ -229,7 +230,7 @@
             kind: prompt.kind,
             tokens,
             work_ms: self.work.work_ms(prompt.kind, tokens),
-            wait_ms: seats[chosen].wait_ms,
+            wait_ms: seats[chosen.index].wait_ms,
         };
         Ok(ChosenEndpoint {
             id: Arc::clone(&notice.id),
--- a/crates/entry/src/forward/pipeline.rs
+++ b/crates/entry/src/forward/pipeline.rs
@@ -11,7 +11,7 @@
 use rand::Rng;
 
 use chestnutloft_core::hash::key_hash;
-use chestnutloft_core::routing::{CallKind, ModelLadder};
+use chestnutloft_core::routing::{CallKind, ModelLadder, ModelLane};
 use chestnutloft_core::time::TimePoint;
 use chestnutloft_wire::clock;
 use chestnutloft_wire::http::{AnyBody, full};
@@ -167,11 +167,22 @@
             service: &self.call.service,
             session: self.call.session_key(),
             prompt: self.prompt(),
+            lane: self.lane(),
             tried: &self.tried,
         };
         self.gate.book().choose(now, &request)
     }
 
+    /// A model that the caller names is not the entry's to place by size.
+    fn lane(&self) -> ModelLane {
+        let has_ladder = self.call.head.model == ModelWish::Any && self.call.route.models.len() > 1;
+        match (has_ladder, self.rung) {
+            (false, _) => ModelLane::Any,
+            (true, 0) => ModelLane::Small,
+            (true, _) => ModelLane::Large,
+        }
+    }
+
     /// The parts of the prompt that other calls share are all but the last.
     fn prompt(&self) -> PromptSize {
         let model = self.model();
--- a/crates/entry/tests/book.rs
+++ b/crates/entry/tests/book.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use chestnutloft_core::routing::{
-    DeclarationUpdate, DirectoryChange, EndpointNotice, EndpointPhase, PoolEndpoint, RolloutOrder,
-    RolloutStage, RolloutState, RoutingUpdate, ServiceRule,
+    DeclarationUpdate, DirectoryChange, EndpointNotice, EndpointPhase, ModelLane, PoolEndpoint,
+    RolloutOrder, RolloutStage, RolloutState, RoutingUpdate, ServiceRule,
 };
 use chestnutloft_core::time::TimePoint;
 use chestnutloft_entry::forward::book::EntryBook;
@@ -98,6 +98,7 @@
         service: &service,
         session,
         prompt: PromptSize::default(),
+        lane: ModelLane::Any,
         tried: &tried,
     };
     book.choose(now, &request)
