End no answer for the silence of its endpoint where no other can go on with it

Cause: a stream that paused for 0.8 of the longest pause aimed at was dropped before it was known whether another endpoint could go on; where the budget of repeats was used up, the caller's connection was cut though the endpoint was at work. The same held for attempts that had not begun to answer.

Change: the next endpoint and the repeat are taken before a paused stream is dropped; without them its endpoint is waited for until the call's time is over. A stream is left after twice the pause aimed at instead of 0.8: it is late in any case then, and another endpoint would read the whole prompt first. An attempt that no repeat could follow is not given up for its silence.

--- a/crates/core/src/routing/allowance.rs
+++ b/crates/core/src/routing/allowance.rs
@@ -91,16 +91,23 @@
     /// Whether a call to `service` may be sent once more; if so, the repeat is counted.
     /// `entries` is the number of entries that share the slack.
     pub fn take(&mut self, now: TimePoint, service: &Arc<str>, entries: usize) -> bool {
+        let has_one = self.has_one(now, service, entries);
+        if has_one {
+            let bucket = self.bucket(now);
+            let repeats = self.repeats.entry(Arc::clone(service)).or_default();
+            repeats.add(bucket, 1.0);
+        }
+        has_one
+    }
+
+    /// Whether a call to `service` could be sent once more.
+    pub fn has_one(&mut self, now: TimePoint, service: &Arc<str>, entries: usize) -> bool {
         let bucket = self.bucket(now);
         let calls = self.calls.entry(Arc::clone(service)).or_default();
         let earned = calls.sum(bucket) * self.settings.ratio;
         let slack = self.settings.slack * self.settings.slack_share / entries.max(1) as f64;
         let repeats = self.repeats.entry(Arc::clone(service)).or_default();
-        let has_one = repeats.sum(bucket) + 1.0 <= earned + slack;
-        if has_one {
-            repeats.add(bucket, 1.0);
-        }
-        has_one
+        repeats.sum(bucket) + 1.0 <= earned + slack
     }
 }
 
--- a/crates/entry/src/forward/book.rs
+++ b/crates/entry/src/forward/book.rs
@@ -264,7 +264,12 @@
         self.repeats.note_call(now, service);
     }
 
-    /// Whether a call to `service` may be sent once more.
+    /// Whether a call to `service` could be sent once more.
+    pub fn has_repeat(&mut self, now: TimePoint, service: &Arc<str>) -> bool {
+        self.repeats.has_one(now, service, self.entries.len())
+    }
+
+    /// Whether a call to `service` may be sent once more, which draws on the budget.
     pub fn take_repeat(&mut self, now: TimePoint, service: &Arc<str>) -> bool {
         self.repeats.take(now, service, self.entries.len())
     }
--- a/crates/entry/src/forward/pipeline.rs
+++ b/crates/entry/src/forward/pipeline.rs
@@ -300,7 +300,9 @@
     /// How long an attempt may stay silent that is `expected` to begin to answer after a while.
     pub fn answer_wait(&self, now: TimePoint, expected: Duration) -> Duration {
         let left = self.call.left(now);
-        let is_last = self.runs + 1 >= self.call.route.max_attempts;
+        // An attempt that cannot be followed by another is not given up for its silence.
+        let is_last = self.runs + 1 >= self.call.route.max_attempts
+            || !self.gate.book().has_repeat(now, &self.call.service.name);
         let aim = self.call.aim();
         match self.call.route.kind {
             CallKind::Idempotent if !is_last => left.min(aim.mul_f64(SILENCE_FACTOR)),
--- a/crates/entry/src/forward/relay.rs
+++ b/crates/entry/src/forward/relay.rs
@@ -14,11 +14,14 @@
 
 use crate::sse::EventSplitter;
 
+use super::choice::ChosenEndpoint;
 use super::exchange::{AttemptFailure, LiveAnswer};
 use super::pipeline::CallRun;
 
-/// Share of the longest pause allowed after which a silent stream goes on elsewhere.
-const PAUSE_SHARE: f64 = 0.8;
+/// Multiple of the longest pause aimed at after which a silent stream goes on elsewhere. A busy
+/// endpoint may pause for longer than the aim, and another one has to read the whole prompt
+/// first, so the answer is late in any case: only an endpoint that has stopped is worth leaving.
+const PAUSE_FACTOR: f64 = 2.0;
 /// Longest pause where the route names none.
 const DEFAULT_PAUSE: Duration = Duration::from_secs(2);
 
@@ -30,6 +33,9 @@
     last_id: Option<u64>,
     first: Option<Bytes>,
     events: u64,
+    /// Whether the stream's endpoint is waited for until the call's time is over: no other can
+    /// go on with it.
+    is_waited_out: bool,
     is_over: bool,
 }
 
@@ -58,6 +64,7 @@
             last_id,
             first: None,
             events: 0,
+            is_waited_out: false,
             is_over: false,
         };
         let wait = relay.pause();
@@ -108,8 +115,13 @@
                 StreamStep::Events(events) => return Some(Ok(Frame::data(events))),
                 StreamStep::End => self.is_over = true,
                 StreamStep::Cut(failure) => {
+                    let next = self.next_endpoint().await;
+                    if self.is_worth_waiting(&failure) && next.is_err() {
+                        self.is_waited_out = true;
+                        continue;
+                    }
                     self.drop_answer(&failure);
-                    if let Err(problem) = self.resume().await {
+                    if let Err(problem) = self.resume(next).await {
                         self.is_over = true;
                         spdlog::warn!(
                             "call {}: the stream is broken off after {} events: {problem}.",
@@ -126,8 +138,8 @@
     fn pause(&self) -> Duration {
         let left = self.run.call.left(clock::now());
         let pause = self.run.call.route.gap_aim_ms.map(Duration::from_millis);
-        let pause = pause.unwrap_or(DEFAULT_PAUSE).mul_f64(PAUSE_SHARE);
-        if self.can_resume() {
+        let pause = pause.unwrap_or(DEFAULT_PAUSE).mul_f64(PAUSE_FACTOR);
+        if self.can_resume() && !self.is_waited_out {
             left.min(pause)
         } else {
             left
@@ -223,21 +235,29 @@
         self.splitter = EventSplitter::default();
     }
 
-    /// Goes on at another endpoint after the last event that the caller has.
-    async fn resume(&mut self) -> Result<(), String> {
+    /// A silent endpoint may still go on, a broken connection does not.
+    fn is_worth_waiting(&self, failure: &AttemptFailure) -> bool {
+        let is_silent = matches!(failure, AttemptFailure::Silent(_));
+        is_silent && !self.run.call.left(clock::now()).is_zero()
+    }
+
+    /// Another endpoint that may go on with the stream.
+    async fn next_endpoint(&mut self) -> Result<ChosenEndpoint, String> {
+        if !self.can_resume() {
+            return Err("it cannot be resumed".to_owned());
+        }
+        if !self.run.may_repeat() {
+            return Err("no more attempts are allowed".to_owned());
+        }
+        let placed = self.run.place().await;
+        placed.map_err(|refusal| refusal.to_string())
+    }
+
+    /// Goes on at the endpoint `next`, or another one where that fails, after the last event
+    /// that the caller has.
+    async fn resume(&mut self, mut next: Result<ChosenEndpoint, String>) -> Result<(), String> {
         loop {
-            if !self.can_resume() {
-                return Err("it cannot be resumed".to_owned());
-            }
-            if !self.run.may_repeat() {
-                return Err("no more attempts are allowed".to_owned());
-            }
-            let endpoint = self
-                .run
-                .place()
-                .await
-                .map_err(|refusal| refusal.to_string())?;
-            match self.run.attempt(endpoint, self.last_id).await {
+            match self.run.attempt(next?, self.last_id).await {
                 Ok(answer) if answer.parts.status.is_success() => {
                     spdlog::info!(
                         "call {}: goes on at {} after event {:?}.",
@@ -254,6 +274,7 @@
                 }
                 Err(failure) => self.run.note_cut(&failure),
             }
+            next = self.next_endpoint().await;
         }
     }
 }
