Lower the ladder's bar by the length that streams of the large model have

Change: entries measure the time between events of large streams and the mean length of each route's. The bar falls from where a stream would take a quarter of the time that the caller has left to 0.7 of it. The gap is forgotten by half every 2 s without streams that show one.

Tests: core ladder, two of them new.

--- a/crates/core/src/routing/ladder.rs
+++ b/crates/core/src/routing/ladder.rs
@@ -23,6 +23,12 @@
     pub busy_load: f64,
     /// Load at which no larger model is asked any more.
     pub full_load: f64,
+    /// Time that a stream of a larger model takes, as a share of the time that the caller has
+    /// left, from which on the bar is lowered: long streams are lost to deadlines and crashes,
+    /// and each further one makes all longer.
+    pub busy_stream_share: f64,
+    /// Time of a stream at which no larger model is asked any more.
+    pub full_stream_share: f64,
 }
 
 /// How busy the endpoints of a service are.
@@ -32,6 +38,25 @@
     pub wait: Duration,
     /// Calls that run and wait, as a share of the slots.
     pub load: f64,
+    /// Time between two events of a stream of a larger model.
+    pub event_gap: Duration,
+}
+
+/// A call whose answer may be dropped for that of a larger model.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ClimbCandidate {
+    /// Model that answered.
+    pub rung: usize,
+    /// How sure it is of its answer, 0 to 100.
+    pub confidence: Option<f64>,
+    /// Time since the call came.
+    pub waited: Duration,
+    /// Time that the caller has left.
+    pub left: Duration,
+    /// Time within which the answer should begin.
+    pub aim: Duration,
+    /// Events that streams of its route have on average.
+    pub events: f64,
 }
 
 impl Default for LadderSettings {
@@ -43,6 +68,8 @@
             full_share: 0.9,
             busy_load: 0.3,
             full_load: 1.0,
+            busy_stream_share: 0.25,
+            full_stream_share: 0.7,
         }
     }
 }
@@ -60,42 +87,37 @@
         Self { settings, rungs }
     }
 
-    /// Rung to ask next, where the answer of `rung` with `confidence` is not good enough.
-    ///
-    /// `waited` is the time since the call came, `aim` the time within which its answer should
-    /// begin, `pool` how busy the pool is.
-    pub fn next(
-        &self,
-        rung: usize,
-        confidence: Option<f64>,
-        waited: Duration,
-        aim: Duration,
-        pool: PoolPressure,
-    ) -> Option<usize> {
-        let confidence = confidence?;
+    /// Rung to ask next, where the answer of `call` is not good enough for a pool as busy as
+    /// `pool`.
+    pub fn next(&self, call: &ClimbCandidate, pool: PoolPressure) -> Option<usize> {
+        let confidence = call.confidence?;
         let top = self.rungs.checked_sub(1)?;
-        let is_late = waited > aim.mul_f64(self.settings.latest_share);
-        if rung >= top || is_late || confidence >= self.bar(pool, aim) {
+        let is_late = call.waited > call.aim.mul_f64(self.settings.latest_share);
+        if call.rung >= top || is_late || confidence >= self.bar(call, pool) {
             return None;
         }
         Some(top)
     }
 
     /// The bar: full while the pool is calm, nothing where it is as busy as it may be.
-    fn bar(&self, pool: PoolPressure, aim: Duration) -> f64 {
-        let LadderSettings {
-            bar,
-            busy_share,
-            full_share,
-            busy_load,
-            full_load,
-            ..
-        } = self.settings;
-        let wait_share = pool.wait.as_secs_f64() / aim.as_secs_f64().max(0.001);
+    fn bar(&self, call: &ClimbCandidate, pool: PoolPressure) -> f64 {
+        let settings = &self.settings;
+        let share_of =
+            |time: Duration, whole: Duration| time.as_secs_f64() / whole.as_secs_f64().max(0.001);
+        let stream = pool.event_gap.mul_f64(call.events);
         let room =
             |seen: f64, busy: f64, full: f64| ((full - seen) / (full - busy)).clamp(0.0, 1.0);
-        let by_wait = room(wait_share, busy_share, full_share);
-        let by_load = room(pool.load, busy_load, full_load);
-        bar * by_wait.min(by_load)
+        let by_wait = room(
+            share_of(pool.wait, call.aim),
+            settings.busy_share,
+            settings.full_share,
+        );
+        let by_load = room(pool.load, settings.busy_load, settings.full_load);
+        let by_stream = room(
+            share_of(stream, call.left),
+            settings.busy_stream_share,
+            settings.full_stream_share,
+        );
+        settings.bar * by_wait.min(by_load).min(by_stream)
     }
 }
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -7,6 +7,7 @@
 mod directory;
 mod health;
 mod ladder;
+mod pace;
 mod placement;
 mod pressure;
 mod rollout;
@@ -25,7 +26,8 @@
     DirectoryChange, EndpointDirectory, EndpointNotice, EndpointPhase, NoticeOutcome, PoolEndpoint,
 };
 pub use health::{HealthSettings, PoolHealth};
-pub use ladder::{LadderSettings, ModelLadder, PoolPressure};
+pub use ladder::{ClimbCandidate, LadderSettings, ModelLadder, PoolPressure};
+pub use pace::{RouteLengths, StreamPace};
 pub use placement::{
     EndpointSeat, ModelLane, PlacementSettings, PlacementWish, SeatChoice, choose_seat,
 };
--- a/crates/core/tests/routing/ladder.rs
+++ b/crates/core/tests/routing/ladder.rs
@@ -1,47 +1,67 @@
 use std::time::Duration;
 
-use chestnutloft_core::routing::{LadderSettings, ModelLadder, PoolPressure};
+use chestnutloft_core::routing::{
+    ClimbCandidate, LadderSettings, ModelLadder, PoolPressure, StreamPace,
+};
+use chestnutloft_core::time::TimePoint;
 
 const AIM: Duration = Duration::from_secs(2);
 const EARLY: Duration = Duration::from_millis(100);
 const CALM: PoolPressure = PoolPressure {
     wait: Duration::from_millis(20),
     load: 0.1,
+    event_gap: Duration::from_millis(40),
 };
 
+fn candidate(rung: usize, confidence: Option<f64>, waited: Duration) -> ClimbCandidate {
+    ClimbCandidate {
+        rung,
+        confidence,
+        waited,
+        left: Duration::from_secs(20).saturating_sub(waited),
+        aim: AIM,
+        events: 50.0,
+    }
+}
+
 fn ladder(rungs: usize) -> ModelLadder {
     ModelLadder::new(LadderSettings::default(), rungs)
 }
 
 #[test]
 fn a_sure_answer_is_kept() {
-    assert_eq!(ladder(3).next(0, Some(90.0), EARLY, AIM, CALM), None);
+    assert_eq!(ladder(3).next(&candidate(0, Some(90.0), EARLY), CALM), None);
 }
 
 #[test]
 fn an_unsure_answer_goes_to_the_largest_model() {
-    assert_eq!(ladder(3).next(0, Some(20.0), EARLY, AIM, CALM), Some(2));
+    assert_eq!(
+        ladder(3).next(&candidate(0, Some(20.0), EARLY), CALM),
+        Some(2)
+    );
 }
 
 #[test]
 fn the_largest_model_has_the_last_word() {
-    assert_eq!(ladder(3).next(2, Some(0.0), EARLY, AIM, CALM), None);
-    assert_eq!(ladder(1).next(0, Some(0.0), EARLY, AIM, CALM), None);
+    assert_eq!(ladder(3).next(&candidate(2, Some(0.0), EARLY), CALM), None);
+    assert_eq!(ladder(1).next(&candidate(0, Some(0.0), EARLY), CALM), None);
 }
 
 #[test]
 fn nothing_is_asked_again_too_late_or_without_an_opinion() {
     let late = Duration::from_millis(1_900);
 
-    assert_eq!(ladder(3).next(0, Some(20.0), late, AIM, CALM), None);
-    assert_eq!(ladder(3).next(0, None, EARLY, AIM, CALM), None);
+    assert_eq!(ladder(3).next(&candidate(0, Some(20.0), late), CALM), None);
+    assert_eq!(ladder(3).next(&candidate(0, None, EARLY), CALM), None);
 }
 
 fn climbs(pool: PoolPressure) -> usize {
     (0..100)
         .filter(|confidence| {
             let confidence = Some(f64::from(*confidence));
-            ladder(3).next(0, confidence, EARLY, AIM, pool).is_some()
+            ladder(3)
+                .next(&candidate(0, confidence, EARLY), pool)
+                .is_some()
         })
         .count()
 }
@@ -66,3 +86,30 @@
     assert!(climbs(loaded(0.6)) > climbs(loaded(0.9)));
     assert_eq!(climbs(loaded(1.1)), 0);
 }
+
+#[test]
+fn long_streams_lower_the_bar() {
+    let at_gap = |millis| PoolPressure {
+        event_gap: Duration::from_millis(millis),
+        ..CALM
+    };
+
+    assert_eq!(climbs(CALM), climbs(at_gap(90)));
+    assert!(climbs(at_gap(90)) > climbs(at_gap(180)));
+    assert_eq!(climbs(at_gap(300)), 0);
+}
+
+#[test]
+fn a_slow_pace_is_forgotten_where_no_stream_shows_it() {
+    let start = TimePoint::from_millis(10_000);
+    let mut pace = StreamPace::default();
+    for _ in 0..100 {
+        pace.note(start, 8.0, Duration::from_millis(1_600));
+    }
+
+    let now = pace.gap(start);
+    let later = pace.gap(start + Duration::from_secs(8));
+
+    assert!(now > Duration::from_millis(190), "{now:?}");
+    assert!(later < Duration::from_millis(20), "{later:?}");
+}
--- a/crates/entry/src/forward/book.rs
+++ b/crates/entry/src/forward/book.rs
@@ -7,7 +7,8 @@
 use chestnutloft_core::routing::{
     ArmCount, ArmKey, ColdAllowance, EndpointNotice, EndpointPhase, HealthSettings,
     PlacementSettings, PoolHealth, PressureBook, RepeatBudget, RepeatSettings, RolloutState,
-    RouteDeclaration, RouteTable, RoutingRevision, RoutingUpdate, SessionVersions, WorkEstimate,
+    RouteDeclaration, RouteLengths, RouteTable, RoutingRevision, RoutingUpdate, SessionVersions,
+    StreamPace, WorkEstimate,
 };
 use chestnutloft_core::time::TimePoint;
 
@@ -59,6 +60,9 @@
     pub(super) placement: PlacementSettings,
     pub(super) pressure: PressureBook,
     pub(super) work: WorkEstimate,
+    /// Pace of the streams of models larger than the smallest.
+    pub(super) large_pace: StreamPace,
+    pub(super) lengths: RouteLengths,
     declaration: RouteDeclaration,
     pub(super) table: Arc<RouteTable>,
     index: u64,
@@ -97,6 +101,8 @@
             placement: settings.placement.clone(),
             pressure: PressureBook::new(settings.pressure.clone()),
             work: WorkEstimate::default(),
+            large_pace: StreamPace::default(),
+            lengths: RouteLengths::default(),
             declaration: RouteDeclaration::default(),
             table: Arc::default(),
             index: 0,
--- a/crates/entry/src/forward/outcomes.rs
+++ b/crates/entry/src/forward/outcomes.rs
@@ -26,6 +26,21 @@
             .note_delay(now, &endpoint.id, endpoint.reading.work_ms, took);
     }
 
+    /// Notes that `events` events of a stream of a larger model took `took`.
+    pub fn note_pace(&mut self, now: TimePoint, events: u64, took: Duration) {
+        self.large_pace.note(now, events as f64, took);
+    }
+
+    /// Notes that a stream of `route` has ended after `events`.
+    pub fn note_length(&mut self, route: &Arc<str>, events: u64) {
+        self.lengths.note(route, events);
+    }
+
+    /// Events of a stream of `route` on average.
+    pub fn mean_length(&self, route: &str) -> f64 {
+        self.lengths.mean(route)
+    }
+
     /// What this entry has sent that has not begun to answer.
     pub fn waiting_work(&self) -> Vec<WaitingWork> {
         self.pressure.waiting_work()
--- a/crates/entry/src/forward/pipeline.rs
+++ b/crates/entry/src/forward/pipeline.rs
@@ -11,7 +11,7 @@
 use rand::Rng;
 
 use chestnutloft_core::hash::key_hash;
-use chestnutloft_core::routing::{CallKind, ModelLadder, ModelLane};
+use chestnutloft_core::routing::{CallKind, ClimbCandidate, ModelLadder, ModelLane};
 use chestnutloft_core::time::TimePoint;
 use chestnutloft_wire::clock;
 use chestnutloft_wire::http::{AnyBody, full};
@@ -174,7 +174,7 @@
     }
 
     /// A model that the caller names is not the entry's to place by size.
-    fn lane(&self) -> ModelLane {
+    pub fn lane(&self) -> ModelLane {
         let has_ladder = self.call.head.model == ModelWish::Any && self.call.route.models.len() > 1;
         match (has_ladder, self.rung) {
             (false, _) => ModelLane::Any,
@@ -363,10 +363,21 @@
         let now = clock::now();
         let rungs = self.call.route.models.len();
         let ladder = ModelLadder::new(self.gate.ladder.clone(), rungs);
-        let pool = self.gate.book().pool_pressure(now, &self.call.service.name);
-        let waited = now.since(self.call.came_at);
+        let (pool, events) = {
+            let book = self.gate.book();
+            let pool = book.pool_pressure(now, &self.call.service.name);
+            (pool, book.mean_length(&self.call.route.name))
+        };
         let confidence = answer.head.confidence;
-        let next = ladder.next(self.rung, confidence, waited, self.call.aim(), pool);
+        let candidate = ClimbCandidate {
+            rung: self.rung,
+            confidence,
+            waited: now.since(self.call.came_at),
+            left: self.call.left(now),
+            aim: self.call.aim(),
+            events,
+        };
+        let next = ladder.next(&candidate, pool);
         let Some(next) = next else { return false };
         if self.runs >= self.call.route.max_attempts
             || !self.gate.book().take_repeat(now, &self.call.service.name)
@@ -374,12 +385,13 @@
             return false;
         }
         spdlog::info!(
-            "call {}: confidence {:?} on rung {} is low; rung {next} is asked, with a wait of {} ms at the pool and load {:.2}.",
+            "call {}: confidence {:?} on rung {} is low; rung {next} is asked, with a wait of {} ms at the pool, load {:.2} and {} ms between events.",
             self.call.head.id,
             confidence,
             self.rung,
             pool.wait.as_millis(),
-            pool.load
+            pool.load,
+            pool.event_gap.as_millis()
         );
         self.note_good_answer(now, answer);
         answer.ticket.settle();
--- a/crates/entry/src/forward/relay.rs
+++ b/crates/entry/src/forward/relay.rs
@@ -8,7 +8,8 @@
 use hyper::Response;
 use hyper::body::Frame;
 
-use chestnutloft_core::routing::CallKind;
+use chestnutloft_core::routing::{CallKind, ModelLane};
+use chestnutloft_core::time::TimePoint;
 use chestnutloft_wire::clock;
 use chestnutloft_wire::http::{AnyBody, BodyError};
 
@@ -22,6 +23,8 @@
 /// endpoint may pause for longer than the aim, and another one has to read the whole prompt
 /// first, so the answer is late in any case: only an endpoint that has stopped is worth leaving.
 const PAUSE_FACTOR: f64 = 2.0;
+/// Events after which the pace of a stream is noted.
+const PACE_EVENTS: u64 = 6;
 /// Longest pause where the route names none.
 const DEFAULT_PAUSE: Duration = Duration::from_secs(2);
 
@@ -33,12 +36,20 @@
     last_id: Option<u64>,
     first: Option<Bytes>,
     events: u64,
+    paced: PaceMark,
     /// Whether the stream's endpoint is waited for until the call's time is over: no other can
     /// go on with it.
     is_waited_out: bool,
     is_over: bool,
 }
 
+/// Where a stream was when its pace was last noted.
+#[derive(Clone, Copy, Debug, Default)]
+struct PaceMark {
+    at: Option<TimePoint>,
+    events: u64,
+}
+
 /// What came of waiting for more of a stream.
 enum StreamStep {
     Events(Bytes),
@@ -64,6 +75,7 @@
             last_id,
             first: None,
             events: 0,
+            paced: PaceMark::default(),
             is_waited_out: false,
             is_over: false,
         };
@@ -162,6 +174,7 @@
         loop {
             let events = self.whole_events();
             if !events.is_empty() {
+                self.note_pace();
                 return StreamStep::Events(events);
             }
             let Some(answer) = &mut self.answer else {
@@ -192,6 +205,8 @@
         }
         if let Some(answer) = self.answer.take() {
             let now = clock::now();
+            let route = &self.run.call.route.name;
+            self.run.gate.book().note_length(route, self.events);
             spdlog::info!(
                 "call {}: the stream from {} ends after {} events, {} ms after the call came.",
                 self.run.call.head.id,
@@ -204,6 +219,30 @@
         StreamStep::End
     }
 
+    /// Notes the pace of a larger model every few events.
+    fn note_pace(&mut self) {
+        if self.run.lane() != ModelLane::Large {
+            return;
+        }
+        let now = clock::now();
+        let Some(at) = self.paced.at else {
+            self.paced = PaceMark {
+                at: Some(now),
+                events: self.events,
+            };
+            return;
+        };
+        let events = self.events - self.paced.events;
+        if events >= PACE_EVENTS {
+            let took = now.since(at);
+            self.run.gate.book().note_pace(now, events, took);
+            self.paced = PaceMark {
+                at: Some(now),
+                events: self.events,
+            };
+        }
+    }
+
     /// All whole events that have arrived. Events that the caller has already are left out.
     fn whole_events(&mut self) -> Bytes {
         let mut events = BytesMut::new();
