--- a/crates/core/src/routing/ladder.rs
+++ b/crates/core/src/routing/ladder.rs
@@ -68,8 +68,8 @@
             full_share: 0.9,
             busy_load: 0.3,
             full_load: 1.0,
-            busy_stream_share: 0.25,
-            full_stream_share: 0.7,
+            busy_stream_share: 0.1,
+            full_stream_share: 0.35,
         }
     }
 }
