Learn the time of a roll-out from entries after all keepers were down

Cause: leaders count a roll-out's time while they run. Change: entries report how long they have known of a roll-out with their call for news; the leader takes the longest. Tests: crates/keeper/tests/desk.rs; the first one fails without the change.

--- a/crates/entry/src/forward/choice.rs
+++ b/crates/entry/src/forward/choice.rs
@@ -10,6 +10,7 @@
     RolloutStage, RolloutState, ServiceRule, SessionMark, VersionWish, choose_seat, session_mark,
 };
 use chestnutloft_core::time::TimePoint;
+use chestnutloft_wire::message::RolloutAge;
 
 use super::book::{BookEndpoint, EntryBook};
 
@@ -355,6 +356,23 @@
         known_at.is_some_and(|at| now.since(*at) >= TRIAL_DELAY)
     }
 
+    /// How long this entry has known of the roll-outs under way: a leader that was elected
+    /// since, or started again, counts no time in which there was none.
+    pub fn rollout_ages(&self, now: TimePoint) -> Vec<RolloutAge> {
+        let running = self.rollouts.values();
+        let running = running.filter(|state| !state.stage.is_final());
+        let age = |state: &RolloutState| {
+            let order = &state.order;
+            let known_at = self.trials_known_at.get(&order.service)?;
+            Some(RolloutAge {
+                service: Arc::clone(&order.service),
+                target: Arc::clone(&order.target),
+                age_ms: u64::try_from(now.since(*known_at).as_millis()).unwrap_or(u64::MAX),
+            })
+        };
+        running.filter_map(age).collect()
+    }
+
     /// Sessions that must stay on the old versions of services on trial, as seen here.
     pub fn bound_sessions(&self, now: TimePoint) -> Vec<SessionMark> {
         let on_trial = self.rollouts.values();
--- a/crates/entry/src/forward/watch.rs
+++ b/crates/entry/src/forward/watch.rs
@@ -147,6 +147,7 @@
             known: book.revision(),
             peers_hash: self.peers.hash(),
             arms: book.take_arms(),
+            rollouts: book.rollout_ages(now),
             bound_sessions: book.bound_sessions(now),
             bound_hash: self.bound_hash,
         }
--- a/crates/keeper/src/desk.rs
+++ b/crates/keeper/src/desk.rs
@@ -183,6 +183,13 @@
                 }
             });
         seen.at = now;
+        for age in &call.rollouts {
+            let key = (Arc::clone(&age.service), Arc::clone(&age.target));
+            if let Some(clock) = self.clocks.get_mut(&key) {
+                let started_at = now - Duration::from_millis(age.age_ms);
+                clock.started_at = clock.started_at.min(started_at);
+            }
+        }
         seen.bound_sessions = std::mem::take(&mut call.bound_sessions);
         if let Some(arms) = call.arms.take() {
             seen.arms = arms;
--- /dev/null
+++ b/crates/keeper/tests/desk.rs
@@ -0,0 +1,116 @@
+//! What the leader decides from what entries report, without a network.
+
+use std::sync::Arc;
+
+use tokio::sync::oneshot;
+
+use chestnutloft_core::routing::{
+    RolloutOrder, RolloutStage, RoutingCommand, RoutingRevision, RoutingState,
+};
+use chestnutloft_core::time::TimePoint;
+use chestnutloft_keeper::desk::{DeskSettings, RoutingDesk};
+use chestnutloft_wire::message::{RolloutAge, WatchCall, WatchReply, marks_hash};
+
+const DURATION_MS: u64 = 24_000;
+
+fn at(millis: u64) -> TimePoint {
+    TimePoint::from_millis(100_000 + millis)
+}
+
+fn order() -> RolloutOrder {
+    RolloutOrder {
+        service: Arc::from("llm"),
+        target: Arc::from("v2"),
+        duration_ms: DURATION_MS,
+    }
+}
+
+/// The state of keepers that have just started again, one second of the roll-out on record.
+fn state() -> RoutingState {
+    let mut state = RoutingState::default();
+    state.apply(1, &RoutingCommand::StartRollout(order()));
+    let progress = RoutingCommand::MoveRollout {
+        service: order().service,
+        target: order().target,
+        stage: RolloutStage::Trial,
+        elapsed_ms: 1_000,
+    };
+    state.apply(2, &progress);
+    state
+}
+
+fn call(entry: &str, age_ms: u64, bound_sessions: Vec<u64>) -> WatchCall {
+    WatchCall {
+        entry: Arc::from(entry),
+        known: RoutingRevision::default(),
+        peers_hash: 0,
+        arms: None,
+        rollouts: vec![RolloutAge {
+            service: order().service,
+            target: order().target,
+            age_ms,
+        }],
+        bound_sessions,
+        bound_hash: marks_hash(&[]),
+    }
+}
+
+fn watch(desk: &mut RoutingDesk, state: &RoutingState, call: WatchCall) -> WatchReply {
+    let (reply, mut answer) = oneshot::channel();
+    desk.watch(at(0), call, reply);
+    desk.answer_watches(at(0), state);
+    answer.try_recv().expect("an answer")
+}
+
+fn stages(commands: &[RoutingCommand]) -> Vec<RolloutStage> {
+    let stage = |command: &RoutingCommand| match command {
+        RoutingCommand::MoveRollout { stage, .. } => Some(*stage),
+        _ => None,
+    };
+    commands.iter().filter_map(stage).collect()
+}
+
+#[test]
+fn a_leader_that_starts_again_learns_the_time_of_a_roll_out_from_entries() {
+    let state = state();
+    let mut desk = RoutingDesk::new(DeskSettings::default());
+    desk.start(at(0));
+    desk.follow_rollouts(at(0), &state);
+    watch(
+        &mut desk,
+        &state,
+        call("entry-1", DURATION_MS - 1_000, Vec::new()),
+    );
+    watch(&mut desk, &state, call("entry-2", 500, Vec::new()));
+
+    let commands = desk.due_commands(at(10), &state);
+
+    assert_eq!(stages(&commands), vec![RolloutStage::Completed]);
+}
+
+#[test]
+fn without_reports_the_time_on_record_counts() {
+    let state = state();
+    let mut desk = RoutingDesk::new(DeskSettings::default());
+    desk.start(at(0));
+    desk.follow_rollouts(at(0), &state);
+
+    let commands = desk.due_commands(at(1_500), &state);
+
+    assert_eq!(stages(&commands), vec![RolloutStage::Trial]);
+}
+
+#[test]
+fn sessions_bound_at_one_entry_are_told_to_the_others() {
+    let state = state();
+    let mut desk = RoutingDesk::new(DeskSettings::default());
+    desk.start(at(0));
+    watch(&mut desk, &state, call("entry-1", 10, vec![7, 9]));
+
+    let reply = watch(&mut desk, &state, call("entry-2", 10, vec![8]));
+
+    let WatchReply::Current { bound_sessions, .. } = reply else {
+        panic!("{reply:?}");
+    };
+    assert_eq!(bound_sessions, Some(vec![7, 8, 9]));
+}
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -117,12 +117,25 @@
     pub peers_hash: u64,
     /// What it saw of versions under roll-out since it started, where that has changed.
     pub arms: Option<Vec<(ArmKey, ArmCount)>>,
+    /// How long it has known of the roll-outs under way.
+    pub rollouts: Vec<RolloutAge>,
     /// Sessions that it saw on the old version of a service on trial.
     pub bound_sessions: Vec<SessionMark>,
     /// Hash of those of all entries that it has; see [`marks_hash`].
     pub bound_hash: u64,
 }
 
+/// How long an entry has known of a roll-out.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RolloutAge {
+    /// Service.
+    pub service: Arc<str>,
+    /// Version that it moves to.
+    pub target: Arc<str>,
+    /// The time, in milliseconds.
+    pub age_ms: u64,
+}
+
 /// A hash that tells two lists of sessions apart.
 pub fn marks_hash(marks: &[SessionMark]) -> u64 {
     let bytes: Vec<u8> = marks.iter().flat_map(|mark| mark.to_le_bytes()).collect();
