--- a/crates/entry/src/forward/book.rs
+++ b/crates/entry/src/forward/book.rs
@@ -146,6 +146,11 @@
         self.current_at.is_some_and(|at| now.since(at) < trust)
     }
 
+    /// When the keepers last confirmed the state.
+    pub fn confirmed_at(&self) -> Option<TimePoint> {
+        self.current_at
+    }
+
     /// Applies what a keeper sent in answer to a call of `asked_at`. An update that is older than
     /// what is known is ignored: an entry never goes back.
     pub fn apply(&mut self, now: TimePoint, asked_at: TimePoint, update: RoutingUpdate) {
--- a/crates/entry/src/forward/call.rs
+++ b/crates/entry/src/forward/call.rs
@@ -8,6 +8,7 @@
 use super::book::EntryBook;
 use super::dialect::EntryDialect;
 use super::links::LinkPool;
+use super::metrics::ForwardMetrics;
 use super::settings::ForwardSettings;
 use super::share::WorkShare;
 
@@ -19,6 +20,8 @@
     pub dialect: EntryDialect,
     /// Choice of models.
     pub ladder: LadderSettings,
+    /// Metrics.
+    pub metrics: ForwardMetrics,
     /// Connections to endpoints.
     pub links: LinkPool,
     /// Exchange with the other entries of what waits at endpoints.
@@ -45,6 +48,7 @@
             name: Arc::from(settings.name.as_str()),
             dialect,
             ladder: settings.ladder.clone(),
+            metrics: ForwardMetrics::default(),
             links: LinkPool::default(),
             share: WorkShare::default(),
             leaving,
--- a/crates/entry/src/forward/daemon.rs
+++ b/crates/entry/src/forward/daemon.rs
@@ -10,13 +10,13 @@
 use tokio::sync::watch;
 
 use chestnutloft_wire::auth::cluster_proof;
-use chestnutloft_wire::clock;
 use chestnutloft_wire::rpc_client::PeerCaller;
 use chestnutloft_wire::settings::SeedReader;
+use chestnutloft_wire::{clock, logs};
 
 use super::call::ForwardGate;
 use super::dialect::EntryDialect;
-use super::door::{OpenCount, serve_callers, serve_readiness};
+use super::door::{OpenCount, serve_callers, serve_metrics, serve_readiness};
 use super::settings::ForwardSettings;
 use super::share::share_work;
 use super::watch::{SeedList, watch_keepers};
@@ -56,6 +56,8 @@
     pub gate: Arc<ForwardGate>,
     /// Address for callers.
     pub callers: SocketAddr,
+    /// Address of the metrics page.
+    pub metrics: Option<SocketAddr>,
     /// Address at which the entry tells whether it takes new connections.
     pub readiness: SocketAddr,
     shutdown: Duration,
@@ -99,6 +101,11 @@
         let gate = Arc::new(ForwardGate::new(settings, dialect, is_leaving, is_refusing));
         let open = OpenCount::default();
         tokio::spawn(serve_readiness(Arc::clone(&gate), readiness));
+        let metrics = bind_metrics(settings.metrics).await?;
+        let metrics_at = metrics.as_ref().map(address_of).transpose()?;
+        if let Some(listener) = metrics {
+            tokio::spawn(serve_metrics(Arc::clone(&gate), listener));
+        }
         tokio::spawn(serve_callers(
             Arc::clone(&gate),
             callers,
@@ -122,6 +129,7 @@
             gate,
             callers: callers_at,
             readiness: readiness_at,
+            metrics: metrics_at,
             shutdown: settings.limits.shutdown,
             open,
             leaving,
@@ -151,9 +159,20 @@
     }
 }
 
+async fn bind_metrics(address: Option<SocketAddr>) -> Result<Option<TcpListener>, StartError> {
+    let Some(address) = address else {
+        return Ok(None);
+    };
+    let listener = TcpListener::bind(address).await;
+    listener
+        .map(Some)
+        .map_err(|error| StartError::Io("metrics", error))
+}
+
 async fn sweep_links(gate: Arc<ForwardGate>) {
     loop {
         tokio::time::sleep(SWEEP_INTERVAL).await;
         gate.links.sweep(clock::now());
+        logs::tell_dropped();
     }
 }
--- a/crates/entry/src/forward/dialect.rs
+++ b/crates/entry/src/forward/dialect.rs
@@ -146,6 +146,21 @@
     Failed(&'static str),
 }
 
+impl CallRefusal {
+    /// A fixed word for metrics.
+    pub fn reason(&self) -> &'static str {
+        match self {
+            Self::Malformed(_) => "malformed",
+            Self::NoRoute => "no_route",
+            Self::UnknownKey => "unknown_key",
+            Self::BodyTooLarge => "body_too_large",
+            Self::NotRun { .. } => "not_run",
+            Self::TimedOut => "timed_out",
+            Self::Failed(_) => "failed",
+        }
+    }
+}
+
 impl fmt::Display for CallRefusal {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
--- a/crates/entry/src/forward/door.rs
+++ b/crates/entry/src/forward/door.rs
@@ -13,7 +13,7 @@
 use tokio::sync::watch;
 
 use chestnutloft_wire::clock;
-use chestnutloft_wire::http::AnyBody;
+use chestnutloft_wire::http::{AnyBody, full};
 
 use super::call::ForwardGate;
 use super::dialect::empty_response;
@@ -22,6 +22,9 @@
 /// Wait after a connection could not be accepted, for want of file descriptors most likely.
 const ACCEPT_WAIT: Duration = Duration::from_millis(20);
 
+/// Path of the metrics page.
+const METRICS_PATH: &str = "/metrics";
+
 /// Connections of callers that are open.
 pub type OpenCount = Arc<AtomicUsize>;
 
@@ -102,6 +105,36 @@
     }
 }
 
+/// Serves the metrics page.
+pub async fn serve_metrics(gate: Arc<ForwardGate>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_WAIT).await;
+            continue;
+        };
+        let gate = Arc::clone(&gate);
+        tokio::spawn(async move {
+            let service = service_fn(move |request: hyper::Request<_>| {
+                let answer = metrics_page(&gate, request.uri().path());
+                async move { Ok::<_, Infallible>(answer) }
+            });
+            let connection = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .serve_connection(TokioIo::new(stream), service);
+            // A scraper that lost the answer asks again.
+            let _ = connection.await;
+        });
+    }
+}
+
+fn metrics_page(gate: &ForwardGate, path: &str) -> Response<AnyBody> {
+    if path != METRICS_PATH {
+        return empty_response(StatusCode::NOT_FOUND);
+    }
+    let levels = gate.book().levels(clock::now());
+    Response::new(full(gate.metrics.text(&levels)))
+}
+
 fn readiness(gate: &ForwardGate, path: &str) -> Response<AnyBody> {
     if path != gate.dialect.ready_path {
         return empty_response(StatusCode::NOT_FOUND);
--- a/crates/entry/src/forward/exchange.rs
+++ b/crates/entry/src/forward/exchange.rs
@@ -41,6 +41,21 @@
     Silent(Duration),
 }
 
+impl AttemptFailure {
+    /// A fixed word for metrics.
+    pub fn label(&self) -> &'static str {
+        match self {
+            Self::Unreachable(_) => "unreachable",
+            Self::NotRun {
+                is_misdirected: true,
+            } => "misdirected",
+            Self::NotRun { .. } => "full",
+            Self::Broken(_) => "broken",
+            Self::Silent(_) => "silent",
+        }
+    }
+}
+
 /// Counts an attempt as under way at its endpoint while it lives.
 pub struct AttemptTicket {
     gate: Arc<ForwardGate>,
--- a/crates/entry/src/forward/mod.rs
+++ b/crates/entry/src/forward/mod.rs
@@ -13,6 +13,7 @@
 mod exchange;
 mod intake;
 mod links;
+pub mod metrics;
 mod outcomes;
 mod pipeline;
 mod relay;
--- a/crates/entry/src/forward/pipeline.rs
+++ b/crates/entry/src/forward/pipeline.rs
@@ -52,6 +52,7 @@
         Err((refusal, id)) => {
             let shown = id.as_deref().unwrap_or("without id");
             spdlog::info!("call {shown}: refused: {refusal}.");
+            gate.metrics.note_refusal(None, &refusal);
             (gate.dialect.write_refusal)(&refusal, id.as_deref())
         }
     }
@@ -67,7 +68,8 @@
     runs: u32,
     rejected: u32,
     may_have_run: bool,
-    rung: usize,
+    /// Place of the model on the route's ladder.
+    pub rung: usize,
     failure: &'static str,
 }
 
@@ -243,6 +245,10 @@
 
     fn blame(&mut self, endpoint: &ChosenEndpoint, failure: &AttemptFailure) {
         let now = clock::now();
+        let version = &endpoint.version;
+        self.gate
+            .metrics
+            .note_attempt(&self.call, version, Some(failure));
         spdlog::warn!(
             "call {}: attempt {} at {} failed after {} ms: {failure:?}.",
             self.call.head.id,
@@ -278,12 +284,13 @@
     pub fn note_good_answer(&self, now: TimePoint, answer: &LiveAnswer) {
         let ticket = &answer.ticket;
         let took = now.since(ticket.began_at);
+        let version = &ticket.endpoint.version;
+        self.gate.metrics.note_attempt(&self.call, version, None);
         let arm = self.arm();
         let mut book = self.gate.book();
         book.note_begun(now, &ticket.endpoint, took);
         book.health
             .note_success(&ticket.endpoint.id, key_hash(arm.as_bytes()), took);
-        let version = &ticket.endpoint.version;
         let took = Some(took.as_secs_f64());
         book.note_arm(&self.call.service.name, version, &arm, took);
     }
@@ -395,6 +402,7 @@
         );
         self.note_good_answer(now, answer);
         answer.ticket.settle();
+        self.gate.metrics.note_climb(&self.call);
         self.rung = next;
         self.tried.clear();
         true
@@ -431,6 +439,7 @@
             self.note_good_answer(now, &answer);
         }
         self.log_answer(now, &answer, body.len());
+        self.gate.metrics.note_whole(now, &self.call);
         let mut response = Response::new(full(body));
         *response.status_mut() = status;
         *response.headers_mut() = answer.parts.headers.clone();
@@ -453,11 +462,13 @@
 
     /// Logs what the caller gets.
     pub fn log_answer(&self, now: TimePoint, answer: &LiveAnswer, bytes: usize) {
+        let status = answer.parts.status.as_u16();
+        self.gate.metrics.note_answer(&self.call, status, self.rung);
         spdlog::info!(
             "call {}: {} answers {} on route {} with {bytes} bytes after {} ms, attempt {}, rung {}.",
             self.call.head.id,
             answer.ticket.endpoint.id,
-            answer.parts.status.as_u16(),
+            status,
             self.call.route.name,
             now.since(self.call.came_at).as_millis(),
             self.runs,
@@ -495,6 +506,7 @@
     }
 
     fn refuse(&self, refusal: &CallRefusal) -> Response<AnyBody> {
+        self.gate.metrics.note_refusal(Some(&self.call), refusal);
         spdlog::info!(
             "call {}: refused on route {} after {} ms and {} attempts: {refusal}.",
             self.call.head.id,
--- a/crates/entry/src/forward/relay.rs
+++ b/crates/entry/src/forward/relay.rs
@@ -99,6 +99,8 @@
             answer.ticket.note_begun();
             self.run.note_good_answer(now, answer);
             self.run.log_answer(now, answer, 0);
+            let (call, rung) = (&self.run.call, self.run.rung);
+            self.run.gate.metrics.note_first_piece(now, call, rung);
             *head.status_mut() = answer.parts.status;
             *head.headers_mut() = answer.parts.headers.clone();
         }
@@ -207,6 +209,7 @@
             let now = clock::now();
             let route = &self.run.call.route.name;
             self.run.gate.book().note_length(route, self.events);
+            self.run.gate.metrics.note_whole(now, &self.run.call);
             spdlog::info!(
                 "call {}: the stream from {} ends after {} events, {} ms after the call came.",
                 self.run.call.head.id,
@@ -304,6 +307,7 @@
                         answer.ticket.endpoint.id,
                         self.last_id
                     );
+                    self.run.gate.metrics.note_resume(&self.run.call);
                     self.answer = Some(answer);
                     return Ok(());
                 }
--- a/crates/entry/src/forward/settings.rs
+++ b/crates/entry/src/forward/settings.rs
@@ -60,6 +60,8 @@
     pub callers: SocketAddr,
     /// `IP:port` at which the entry tells whether it takes new connections.
     pub readiness: SocketAddr,
+    /// `IP:port` for metrics; without it there is no page.
+    pub metrics: Option<SocketAddr>,
     /// Port of the keepers' RPC.
     pub keeper_port: u16,
     /// Addresses of some keepers; their ports are those for operators.
@@ -86,6 +88,7 @@
             domain: "local".to_owned(),
             callers: loopback(7700),
             readiness: loopback(7701),
+            metrics: None,
             keeper_port: 7600,
             seeds: vec![loopback(7601)],
             cluster_secret: String::new(),
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -10,7 +10,7 @@
 use chestnutloft_wire::metrics::MetricsPage;
 
 /// Bounds of latency histograms, in seconds.
-const LATENCY_BOUNDS: [f64; 12] = [
+pub(crate) const LATENCY_BOUNDS: [f64; 12] = [
     0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.64, 1.0, 2.0, 5.0, 20.0, 60.0,
 ];
 
--- a/crates/keeper/src/daemon.rs
+++ b/crates/keeper/src/daemon.rs
@@ -23,7 +23,7 @@
 use chestnutloft_wire::rpc::{self, CallAnswer, CallHandler, Method, Status};
 use chestnutloft_wire::rpc_client::PeerCaller;
 use chestnutloft_wire::settings::SeedReader;
-use chestnutloft_wire::{clock, http};
+use chestnutloft_wire::{clock, http, logs};
 
 use crate::actor::{MembershipView, ReplicaActor, ReplicaArguments, ReplicaMessage};
 use crate::control::{ControlDesk, ControlDialect};
@@ -176,6 +176,18 @@
             .await
             .map_err(io_at("http"))?;
         let http = listener.local_addr().map_err(io_at("http"))?;
+        let operators = OperatorDoor {
+            replica: replica.clone(),
+            key_hashes: settings.operator_key_hashes.clone().into(),
+            metrics: KeeperMetrics::default(),
+        };
+        if let Some(address) = settings.metrics {
+            let listener = TcpListener::bind(address).await.map_err(io_at("metrics"))?;
+            let door = operators.clone();
+            let service = move |request| door.clone().answer_metrics(request);
+            let stopped = stopped.clone();
+            tokio::spawn(http::serve(listener, stopped, SHUTDOWN_PATIENCE, service));
+        }
         let door = if let Some((dialect, seeds)) = joining {
             tokio::spawn(ask_to_join(
                 replica.clone(),
@@ -191,12 +203,7 @@
             let service = move |request| desk.clone().answer(request);
             tokio::spawn(http::serve(listener, stopped, SHUTDOWN_PATIENCE, service))
         } else {
-            let door = OperatorDoor {
-                replica: replica.clone(),
-                key_hashes: settings.operator_key_hashes.clone().into(),
-                metrics: KeeperMetrics::default(),
-            };
-            let service = move |request| door.clone().answer(request);
+            let service = move |request| operators.clone().answer(request);
             tokio::spawn(http::serve(listener, stopped, SHUTDOWN_PATIENCE, service))
         };
         spdlog::info!(
@@ -262,6 +269,7 @@
     let mut hints: Vec<String> = Vec::new();
     loop {
         tokio::time::sleep(JOIN_INTERVAL).await;
+        logs::tell_dropped();
         let view = ask(
             &replica,
             MembershipView::default(),
--- a/crates/keeper/src/operator.rs
+++ b/crates/keeper/src/operator.rs
@@ -101,6 +101,14 @@
         }
     }
 
+    /// Answers one request at the address for metrics, which serves nothing else.
+    pub async fn answer_metrics(self, request: Request<Incoming>) -> Response<AnyBody> {
+        match request.uri().path() {
+            "/metrics" => self.metrics_page().await,
+            path => error_response(404, "not_found", format!("{path} is not served")),
+        }
+    }
+
     async fn ask<T>(&self, make: impl FnOnce(oneshot::Sender<T>) -> ReplicaMessage) -> Option<T> {
         let (reply, answer) = oneshot::channel();
         self.replica.cast(make(reply)).ok()?;
--- a/crates/keeper/src/settings.rs
+++ b/crates/keeper/src/settings.rs
@@ -27,6 +27,8 @@
     pub rpc: SocketAddr,
     /// `IP:port` for operators.
     pub http: SocketAddr,
+    /// `IP:port` for metrics alone, beside the operators' address.
+    pub metrics: Option<SocketAddr>,
     /// Data folder.
     pub data: PathBuf,
     /// First voters with their RPC addresses; read by `init` only.
@@ -64,6 +66,7 @@
             replica: 1,
             rpc: SocketAddr::from(([127, 0, 0, 1], 7600)),
             http: SocketAddr::from(([127, 0, 0, 1], 7601)),
+            metrics: None,
             data: PathBuf::from("data/keeper"),
             first_voters: BTreeMap::new(),
             formation: None,
