--- a/crates/core/src/routing/ladder.rs
+++ b/crates/core/src/routing/ladder.rs
@@ -62,7 +62,7 @@
 impl Default for LadderSettings {
     fn default() -> Self {
         Self {
-            bar: 58.0,
+            bar: 52.0,
             latest_share: 0.6,
             busy_share: 0.2,
             full_share: 0.9,
