Lower the bar by the pace of large streams, the same for all routes

Cause: by the length of a route's streams, long answers were held to the small model first and the short ones, which are worth least for their time, never. Conclusion: 50 to 175 ms; the lengths of routes are not needed any more.

--- a/crates/core/src/routing/ladder.rs
+++ b/crates/core/src/routing/ladder.rs
@@ -23,12 +23,12 @@
     pub busy_load: f64,
     /// Load at which no larger model is asked any more.
     pub full_load: f64,
-    /// Time that a stream of a larger model takes, as a share of the time that the caller has
-    /// left, from which on the bar is lowered: long streams are lost to deadlines and crashes,
-    /// and each further one makes all longer.
-    pub busy_stream_share: f64,
-    /// Time of a stream at which no larger model is asked any more.
-    pub full_stream_share: f64,
+    /// Time between two events of streams of larger models, in milliseconds, from which on the
+    /// bar is lowered: long streams are lost to deadlines and crashes, and each further one makes
+    /// all longer.
+    pub busy_gap_ms: f64,
+    /// Time between two events at which no larger model is asked any more, in milliseconds.
+    pub full_gap_ms: f64,
 }
 
 /// How busy the endpoints of a service are.
@@ -51,12 +51,8 @@
     pub confidence: Option<f64>,
     /// Time since the call came.
     pub waited: Duration,
-    /// Time that the caller has left.
-    pub left: Duration,
     /// Time within which the answer should begin.
     pub aim: Duration,
-    /// Events that streams of its route have on average.
-    pub events: f64,
 }
 
 impl Default for LadderSettings {
@@ -68,8 +64,8 @@
             full_share: 0.9,
             busy_load: 0.3,
             full_load: 1.0,
-            busy_stream_share: 0.1,
-            full_stream_share: 0.35,
+            busy_gap_ms: 50.0,
+            full_gap_ms: 175.0,
         }
     }
 }
@@ -102,22 +98,13 @@
     /// The bar: full while the pool is calm, nothing where it is as busy as it may be.
     fn bar(&self, call: &ClimbCandidate, pool: PoolPressure) -> f64 {
         let settings = &self.settings;
-        let share_of =
-            |time: Duration, whole: Duration| time.as_secs_f64() / whole.as_secs_f64().max(0.001);
-        let stream = pool.event_gap.mul_f64(call.events);
+        let wait_share = pool.wait.as_secs_f64() / call.aim.as_secs_f64().max(0.001);
+        let gap_ms = pool.event_gap.as_secs_f64() * 1_000.0;
         let room =
             |seen: f64, busy: f64, full: f64| ((full - seen) / (full - busy)).clamp(0.0, 1.0);
-        let by_wait = room(
-            share_of(pool.wait, call.aim),
-            settings.busy_share,
-            settings.full_share,
-        );
+        let by_wait = room(wait_share, settings.busy_share, settings.full_share);
         let by_load = room(pool.load, settings.busy_load, settings.full_load);
-        let by_stream = room(
-            share_of(stream, call.left),
-            settings.busy_stream_share,
-            settings.full_stream_share,
-        );
-        settings.bar * by_wait.min(by_load).min(by_stream)
+        let by_pace = room(gap_ms, settings.busy_gap_ms, settings.full_gap_ms);
+        settings.bar * by_wait.min(by_load).min(by_pace)
     }
 }
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -27,7 +27,7 @@
 };
 pub use health::{HealthSettings, PoolHealth};
 pub use ladder::{ClimbCandidate, LadderSettings, ModelLadder, PoolPressure};
-pub use pace::{RouteLengths, StreamPace};
+pub use pace::StreamPace;
 pub use placement::{
     EndpointSeat, ModelLane, PlacementSettings, PlacementWish, SeatChoice, choose_seat,
 };
--- a/crates/core/tests/routing/ladder.rs
+++ b/crates/core/tests/routing/ladder.rs
@@ -18,9 +18,7 @@
         rung,
         confidence,
         waited,
-        left: Duration::from_secs(20).saturating_sub(waited),
         aim: AIM,
-        events: 50.0,
     }
 }
 
--- a/crates/entry/src/forward/book.rs
+++ b/crates/entry/src/forward/book.rs
@@ -7,8 +7,8 @@
 use chestnutloft_core::routing::{
     ArmCount, ArmKey, ColdAllowance, EndpointNotice, EndpointPhase, HealthSettings,
     PlacementSettings, PoolHealth, PressureBook, RepeatBudget, RepeatSettings, RolloutState,
-    RouteDeclaration, RouteLengths, RouteTable, RoutingRevision, RoutingUpdate, SessionVersions,
-    StreamPace, WorkEstimate,
+    RouteDeclaration, RouteTable, RoutingRevision, RoutingUpdate, SessionVersions, StreamPace,
+    WorkEstimate,
 };
 use chestnutloft_core::time::TimePoint;
 
@@ -62,7 +62,6 @@
     pub(super) work: WorkEstimate,
     /// Pace of the streams of models larger than the smallest.
     pub(super) large_pace: StreamPace,
-    pub(super) lengths: RouteLengths,
     declaration: RouteDeclaration,
     pub(super) table: Arc<RouteTable>,
     index: u64,
@@ -102,7 +101,6 @@
             pressure: PressureBook::new(settings.pressure.clone()),
             work: WorkEstimate::default(),
             large_pace: StreamPace::default(),
-            lengths: RouteLengths::default(),
             declaration: RouteDeclaration::default(),
             table: Arc::default(),
             index: 0,
--- a/crates/entry/src/forward/outcomes.rs
+++ b/crates/entry/src/forward/outcomes.rs
@@ -31,16 +31,6 @@
         self.large_pace.note(now, events as f64, took);
     }
 
-    /// Notes that a stream of `route` has ended after `events`.
-    pub fn note_length(&mut self, route: &Arc<str>, events: u64) {
-        self.lengths.note(route, events);
-    }
-
-    /// Events of a stream of `route` on average.
-    pub fn mean_length(&self, route: &str) -> f64 {
-        self.lengths.mean(route)
-    }
-
     /// What this entry has sent that has not begun to answer.
     pub fn waiting_work(&self) -> Vec<WaitingWork> {
         self.pressure.waiting_work()
--- a/crates/entry/src/forward/pipeline.rs
+++ b/crates/entry/src/forward/pipeline.rs
@@ -370,19 +370,13 @@
         let now = clock::now();
         let rungs = self.call.route.models.len();
         let ladder = ModelLadder::new(self.gate.ladder.clone(), rungs);
-        let (pool, events) = {
-            let book = self.gate.book();
-            let pool = book.pool_pressure(now, &self.call.service.name);
-            (pool, book.mean_length(&self.call.route.name))
-        };
+        let pool = self.gate.book().pool_pressure(now, &self.call.service.name);
         let confidence = answer.head.confidence;
         let candidate = ClimbCandidate {
             rung: self.rung,
             confidence,
             waited: now.since(self.call.came_at),
-            left: self.call.left(now),
             aim: self.call.aim(),
-            events,
         };
         let next = ladder.next(&candidate, pool);
         let Some(next) = next else { return false };
--- a/crates/entry/src/forward/relay.rs
+++ b/crates/entry/src/forward/relay.rs
@@ -207,8 +207,6 @@
         }
         if let Some(answer) = self.answer.take() {
             let now = clock::now();
-            let route = &self.run.call.route.name;
-            self.run.gate.book().note_length(route, self.events);
             self.run.gate.metrics.note_whole(now, &self.run.call);
             spdlog::info!(
                 "call {}: the stream from {} ends after {} events, {} ms after the call came.",
