Keep the head of a stream that has no events

Cause: a stream whose body ended before its first event was released before the answer's head was written, so the caller got status 200 without any of the endpoint's headers. Change: the connection is released when the end is passed on, not when it is seen. Test: platform/tests/path/streams.rs, a_stream_without_events_keeps_its_signature; failed before.

--- a/crates/entry/src/forward/relay.rs
+++ b/crates/entry/src/forward/relay.rs
@@ -105,9 +105,6 @@
             *head.headers_mut() = answer.parts.headers.clone();
         }
         (self.run.gate.dialect.clean_answer)(head.headers_mut());
-        if self.answer.is_none() {
-            self.is_over = true;
-        }
         let body = stream::unfold(self, |mut relay| async move {
             let frame = relay.next_frame().await?;
             Some((frame, relay))
@@ -127,7 +124,10 @@
             }
             match self.step(self.pause()).await {
                 StreamStep::Events(events) => return Some(Ok(Frame::data(events))),
-                StreamStep::End => self.is_over = true,
+                StreamStep::End => {
+                    self.release();
+                    self.is_over = true;
+                }
                 StreamStep::Cut(failure) => {
                     let next = self.next_endpoint().await;
                     if self.is_worth_waiting(&failure) && next.is_err() {
@@ -195,16 +195,21 @@
                 Some(Err(error)) => {
                     return StreamStep::Cut(AttemptFailure::Broken(error.to_string()));
                 }
-                None => return self.finish(),
+                None => return self.end(),
             }
         }
     }
 
-    fn finish(&mut self) -> StreamStep {
+    fn end(&self) -> StreamStep {
         if self.splitter.has_rest() {
             let reason = "the stream ends within an event".to_owned();
             return StreamStep::Cut(AttemptFailure::Broken(reason));
         }
+        StreamStep::End
+    }
+
+    /// Keeps the connection of a stream that has ended as it should.
+    fn release(&mut self) {
         if let Some(answer) = self.answer.take() {
             let now = clock::now();
             self.run.gate.metrics.note_whole(now, &self.run.call);
@@ -217,7 +222,6 @@
             );
             answer.release(now);
         }
-        StreamStep::End
     }
 
     /// Notes the pace of a larger model every few events.
