--- a/crates/core/src/ledger/shard.rs
+++ b/crates/core/src/ledger/shard.rs
@@ -223,14 +223,15 @@
     }
 
     fn release(&mut self, key: RequestKey, attempt: &AttemptId) -> bool {
-        let is_running = self
+        // An attempt that says late that it has not run is believed: nobody else may have run it.
+        let is_open = self
             .held(key, attempt)
-            .is_some_and(|record| record.state == ClaimState::Running);
-        if is_running {
+            .is_some_and(|record| !matches!(record.state, ClaimState::Settled(_)));
+        if is_open {
             self.claims.remove(&key);
             self.running.remove(&key);
         }
-        is_running
+        is_open
     }
 
     fn settle(
