Share the pace of large streams between entries

Change: the first gaps seen count in full, a pace is known for 3 s, and the exchange of waiting work carries it: the bar follows the mean over all entries that see streams.

--- a/crates/core/src/routing/board.rs
+++ b/crates/core/src/routing/board.rs
@@ -1,4 +1,4 @@
-//! Work that waits at endpoints, summed over entries.
+//! Work that waits at endpoints and the pace of streams, summed over entries.
 //!
 //! An entry sees only the calls that it has sent itself. Where several entries send to the same
 //! endpoints, each would take the one for idle that the others have just filled. They report
@@ -13,6 +13,8 @@
 use crate::hash::key_hash;
 use crate::time::TimePoint;
 
+use super::pace::PaceReport;
+
 /// Age at which a report counts no more: its entry has stopped or is cut off, and what it had
 /// sent has begun or failed.
 const REPORT_LIFE: Duration = Duration::from_secs(2);
@@ -35,10 +37,19 @@
     pub work_ms: u32,
 }
 
+/// What an entry tells the others, and what they tell it.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct LoadShare {
+    /// Work that waits at endpoints.
+    pub work: Vec<WaitingWork>,
+    /// Pace of the streams of large models.
+    pub pace: PaceReport,
+}
+
 #[derive(Clone, Debug)]
 struct WorkReport {
     at: TimePoint,
-    work: Vec<WaitingWork>,
+    share: LoadShare,
 }
 
 /// Newest reports of all entries, and their sums.
@@ -49,26 +60,23 @@
 }
 
 impl WorkBoard {
-    /// Takes the report of `entry` in place of its last one. Returns what waits for the others.
-    pub fn exchange(
-        &mut self,
-        now: TimePoint,
-        entry: &Arc<str>,
-        work: Vec<WaitingWork>,
-    ) -> Vec<WaitingWork> {
+    /// Takes the report of `entry` in place of its last one. Returns what the others reported.
+    pub fn exchange(&mut self, now: TimePoint, entry: &Arc<str>, share: LoadShare) -> LoadShare {
         self.drop_old(now);
         self.drop_report(entry);
         let others = self.totals.iter().map(|(endpoint, total)| WaitingWork {
             endpoint: *endpoint,
             work_ms: u32::try_from(*total).unwrap_or(u32::MAX),
         });
-        let others: Vec<WaitingWork> = others.collect();
-        for item in &work {
+        let work: Vec<WaitingWork> = others.collect();
+        let paces = self.reports.values().map(|report| report.share.pace);
+        let pace = paces.fold(PaceReport::default(), PaceReport::plus);
+        for item in &share.work {
             *self.totals.entry(item.endpoint).or_default() += u64::from(item.work_ms);
         }
-        let report = WorkReport { at: now, work };
+        let report = WorkReport { at: now, share };
         self.reports.insert(Arc::clone(entry), report);
-        others
+        LoadShare { work, pace }
     }
 
     fn drop_old(&mut self, now: TimePoint) {
@@ -84,7 +92,7 @@
         let Some(report) = self.reports.remove(entry) else {
             return;
         };
-        for item in report.work {
+        for item in report.share.work {
             if let Some(total) = self.totals.get_mut(&item.endpoint) {
                 *total = total.saturating_sub(u64::from(item.work_ms));
             }
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -17,7 +17,7 @@
 mod verdict;
 
 pub use allowance::{ColdAllowance, RepeatBudget, RepeatSettings};
-pub use board::{EndpointMark, WaitingWork, WorkBoard, endpoint_mark};
+pub use board::{EndpointMark, LoadShare, WaitingWork, WorkBoard, endpoint_mark};
 pub use declaration::{
     CallKind, CallerLimits, DeclarationFinding, ModelRule, RouteDeclaration, RouteRule,
     ServiceRule, ServiceShare, WorkspaceRule,
@@ -27,7 +27,7 @@
 };
 pub use health::{HealthSettings, PoolHealth};
 pub use ladder::{ClimbCandidate, LadderSettings, ModelLadder, PoolPressure};
-pub use pace::StreamPace;
+pub use pace::{PaceReport, StreamPace};
 pub use placement::{
     EndpointSeat, ModelLane, PlacementSettings, PlacementWish, SeatChoice, choose_seat,
 };
--- a/crates/core/src/routing/pace.rs
+++ b/crates/core/src/routing/pace.rs
@@ -1,33 +1,69 @@
-//! How fast streams go, from those that this entry passes on.
+//! How fast streams go, from those that this entry passes on and those of other entries.
 
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::time::TimePoint;
 
-/// Weight of a new gap against the one remembered.
+/// Weight of a new gap against those remembered, once there are enough.
 const GAP_WEIGHT: f64 = 0.15;
-/// Time in which a remembered gap counts for half where no stream shows a newer one.
-const GAP_HALF_LIFE: Duration = Duration::from_secs(2);
+/// Age of the newest gap at which the pace is not known any more: streams show one each second.
+const GAP_LIFE: Duration = Duration::from_secs(3);
+
+/// Mean time between two events, as seen at one or several entries.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct PaceReport {
+    /// Sum of the means of all entries, in milliseconds.
+    pub gap_ms: u32,
+    /// Entries that saw streams lately.
+    pub entries: u32,
+}
+
+impl PaceReport {
+    /// Both reports together.
+    #[must_use]
+    pub fn plus(self, other: Self) -> Self {
+        Self {
+            gap_ms: self.gap_ms.saturating_add(other.gap_ms),
+            entries: self.entries + other.entries,
+        }
+    }
+
+    /// Mean over the entries; zero where none saw a stream.
+    pub fn mean(self) -> Duration {
+        Duration::from_millis(u64::from(self.gap_ms)) / self.entries.max(1)
+    }
+}
 
-/// Mean time between two events.
+/// Mean time between two events at this entry.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct StreamPace {
     gap_s: f64,
+    count: f64,
     seen_at: TimePoint,
 }
 
 impl StreamPace {
     /// Notes that `events` events took `took`.
     pub fn note(&mut self, now: TimePoint, events: f64, took: Duration) {
+        if self.report(now).entries == 0 {
+            self.count = 0.0;
+        }
+        self.count += 1.0;
         let seen = took.as_secs_f64() / events.max(1.0);
-        let known = self.gap(now).as_secs_f64();
-        self.gap_s = known + (seen - known) * GAP_WEIGHT;
+        self.gap_s += (seen - self.gap_s) * (1.0 / self.count).max(GAP_WEIGHT);
         self.seen_at = now;
     }
 
-    /// Time between two events, as far as known.
-    pub fn gap(&self, now: TimePoint) -> Duration {
-        let age = now.since(self.seen_at).as_secs_f64() / GAP_HALF_LIFE.as_secs_f64();
-        Duration::from_secs_f64(self.gap_s * 0.5_f64.powf(age))
+    /// What this entry saw lately.
+    pub fn report(&self, now: TimePoint) -> PaceReport {
+        if self.count < 1.0 || now.since(self.seen_at) >= GAP_LIFE {
+            return PaceReport::default();
+        }
+        PaceReport {
+            gap_ms: (self.gap_s * 1_000.0) as u32,
+            entries: 1,
+        }
     }
 }
--- a/crates/entry/src/forward/book.rs
+++ b/crates/entry/src/forward/book.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use chestnutloft_core::routing::{
-    ArmCount, ArmKey, ColdAllowance, EndpointNotice, EndpointPhase, HealthSettings,
+    ArmCount, ArmKey, ColdAllowance, EndpointNotice, EndpointPhase, HealthSettings, PaceReport,
     PlacementSettings, PoolHealth, PressureBook, RepeatBudget, RepeatSettings, RolloutState,
     RouteDeclaration, RouteTable, RoutingRevision, RoutingUpdate, SessionVersions, StreamPace,
     WorkEstimate,
@@ -62,6 +62,7 @@
     pub(super) work: WorkEstimate,
     /// Pace of the streams of models larger than the smallest.
     pub(super) large_pace: StreamPace,
+    pub(super) others_pace: PaceReport,
     declaration: RouteDeclaration,
     pub(super) table: Arc<RouteTable>,
     index: u64,
@@ -101,6 +102,7 @@
             pressure: PressureBook::new(settings.pressure.clone()),
             work: WorkEstimate::default(),
             large_pace: StreamPace::default(),
+            others_pace: PaceReport::default(),
             declaration: RouteDeclaration::default(),
             table: Arc::default(),
             index: 0,
--- a/crates/entry/src/forward/choice.rs
+++ b/crates/entry/src/forward/choice.rs
@@ -139,7 +139,7 @@
         PoolPressure {
             wait: Duration::from_secs_f64(wait_ms / f64::max(count, 1.0) / 1_000.0),
             load: load / f64::max(slots, 1.0),
-            event_gap: self.large_pace.gap(now),
+            event_gap: self.large_pace.report(now).plus(self.others_pace).mean(),
         }
     }
 
--- a/crates/entry/src/forward/outcomes.rs
+++ b/crates/entry/src/forward/outcomes.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use chestnutloft_core::routing::{ArmCount, ArmKey, EndpointPhase, WaitingWork};
+use chestnutloft_core::routing::{ArmCount, ArmKey, EndpointPhase, LoadShare, WaitingWork};
 use chestnutloft_core::time::TimePoint;
 
 use super::book::{EntryBook, LoadReport};
@@ -36,9 +36,18 @@
         self.pressure.waiting_work()
     }
 
-    /// Notes what waits for other entries.
-    pub fn note_others(&mut self, now: TimePoint, others: &[WaitingWork]) {
-        self.pressure.note_others(now, others);
+    /// What this entry tells the others.
+    pub fn load_share(&self, now: TimePoint) -> LoadShare {
+        LoadShare {
+            work: self.waiting_work(),
+            pace: self.large_pace.report(now),
+        }
+    }
+
+    /// Notes what the other entries see.
+    pub fn note_others(&mut self, now: TimePoint, others: &LoadShare) {
+        self.pressure.note_others(now, &others.work);
+        self.others_pace = others.pace;
     }
 
     /// Notes that an attempt is sent.
--- a/crates/entry/src/forward/share.rs
+++ b/crates/entry/src/forward/share.rs
@@ -1,13 +1,15 @@
-//! Tells the leading keeper what waits at endpoints, and learns what waits for other entries.
+//! Tells the leading keeper what waits at endpoints and how fast streams go, and learns what the
+//! other entries see.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::sync::{Notify, watch};
 
+use chestnutloft_core::routing::LoadShare;
 use chestnutloft_core::time::TimePoint;
 use chestnutloft_wire::clock;
-use chestnutloft_wire::message::{ShareCall, ShareReply};
+use chestnutloft_wire::message::ShareCall;
 use chestnutloft_wire::rpc::Method;
 use chestnutloft_wire::rpc_client::PeerCaller;
 
@@ -84,14 +86,14 @@
         let asked_at = clock::now();
         let call = ShareCall {
             entry: Arc::clone(&gate.name),
-            work: gate.book().waiting_work(),
+            share: gate.book().load_share(asked_at),
         };
         let reply = caller
-            .call::<_, ShareReply>(&leader, Method::Share, &call, CALL_TIMEOUT)
+            .call::<_, LoadShare>(&leader, Method::Share, &call, CALL_TIMEOUT)
             .await;
         match reply {
             Ok(reply) => {
-                gate.book().note_others(asked_at, &reply.others);
+                gate.book().note_others(asked_at, &reply);
                 gate.share.known_at.send_replace(Some(asked_at));
             }
             Err(error) => {
--- a/crates/keeper/src/daemon.rs
+++ b/crates/keeper/src/daemon.rs
@@ -17,8 +17,7 @@
 use chestnutloft_core::time::TimePoint;
 use chestnutloft_wire::auth::cluster_proof;
 use chestnutloft_wire::message::{
-    BeatReply, JoinCall, JoinReply, ReplicateCall, RunCall, RunReply, ShareCall, ShareReply,
-    WatchReply,
+    BeatReply, JoinCall, JoinReply, ReplicateCall, RunCall, RunReply, ShareCall, WatchReply,
 };
 use chestnutloft_wire::rpc::{self, CallAnswer, CallHandler, Method, Status};
 use chestnutloft_wire::rpc_client::PeerCaller;
@@ -347,8 +346,7 @@
             })),
             Method::Share => Box::pin(rpc::answer(payload, move |call: ShareCall| async move {
                 let mut board = board.lock().unwrap_or_else(PoisonError::into_inner);
-                let others = board.exchange(clock::now(), &call.entry, call.work);
-                ShareReply { others }
+                board.exchange(clock::now(), &call.entry, call.share)
             })),
             Method::Exchange | Method::Credit => Box::pin(async { (Status::NotHere, Vec::new()) }),
         };
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -7,7 +7,7 @@
 use chestnutloft_core::consensus::{PeerMessage, ReplicaId};
 use chestnutloft_core::ids::{EndpointId, EntryId};
 use chestnutloft_core::routing::{
-    ArmCount, ArmKey, RoutingRevision, RoutingUpdate, SessionMark, WaitingWork,
+    ArmCount, ArmKey, LoadShare, RoutingRevision, RoutingUpdate, SessionMark,
 };
 use chestnutloft_core::state::{
     CreditGrant, CreditReport, EndpointRecord, EntryBeat, KeeperCommand, KeeperOutcome, LeaseGrant,
@@ -175,20 +175,13 @@
     NotLeader(Option<String>),
 }
 
-/// An entry tells what it has sent to endpoints that has not begun to answer.
+/// An entry tells what waits for it at endpoints; the answer is the [`LoadShare`] of the others.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ShareCall {
     /// Name of the entry.
     pub entry: Arc<str>,
-    /// The work that waits.
-    pub work: Vec<WaitingWork>,
-}
-
-/// Answer to [`ShareCall`]: what waits for the other entries.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct ShareReply {
-    /// The work that waits.
-    pub others: Vec<WaitingWork>,
+    /// What it sees.
+    pub share: LoadShare,
 }
 
 /// A keeper asks to become a member.
