--- a/crates/core/src/routing/ladder.rs
+++ b/crates/core/src/routing/ladder.rs
@@ -64,8 +64,8 @@
             full_share: 0.9,
             busy_load: 0.3,
             full_load: 1.0,
-            busy_gap_ms: 50.0,
-            full_gap_ms: 175.0,
+            busy_gap_ms: 60.0,
+            full_gap_ms: 210.0,
         }
     }
 }
