--- a/crates/entry/src/forward/daemon.rs
+++ b/crates/entry/src/forward/daemon.rs
@@ -16,7 +16,7 @@
 
 use super::call::ForwardGate;
 use super::dialect::EntryDialect;
-use super::door::{OpenCount, serve_callers, serve_metrics, serve_readiness};
+use super::door::{self, OpenCount, metrics_page, serve_callers, serve_pages};
 use super::settings::ForwardSettings;
 use super::share::share_work;
 use super::watch::{SeedList, watch_keepers};
@@ -100,11 +100,11 @@
         let (refusing, is_refusing) = watch::channel(false);
         let gate = Arc::new(ForwardGate::new(settings, dialect, is_leaving, is_refusing));
         let open = OpenCount::default();
-        tokio::spawn(serve_readiness(Arc::clone(&gate), readiness));
+        tokio::spawn(serve_pages(Arc::clone(&gate), readiness, door::readiness));
         let metrics = bind_metrics(settings.metrics).await?;
         let metrics_at = metrics.as_ref().map(address_of).transpose()?;
         if let Some(listener) = metrics {
-            tokio::spawn(serve_metrics(Arc::clone(&gate), listener));
+            tokio::spawn(serve_pages(Arc::clone(&gate), listener, metrics_page));
         }
         tokio::spawn(serve_callers(
             Arc::clone(&gate),
--- a/crates/entry/src/forward/door.rs
+++ b/crates/entry/src/forward/door.rs
@@ -83,30 +83,11 @@
     }
 }
 
-/// Answers whether this entry takes new connections.
-pub async fn serve_readiness(gate: Arc<ForwardGate>, listener: TcpListener) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_WAIT).await;
-            continue;
-        };
-        let gate = Arc::clone(&gate);
-        tokio::spawn(async move {
-            let service = service_fn(move |request: hyper::Request<_>| {
-                let answer = readiness(&gate, request.uri().path());
-                async move { Ok::<_, Infallible>(answer) }
-            });
-            let connection = http1::Builder::new()
-                .timer(TokioTimer::new())
-                .serve_connection(TokioIo::new(stream), service);
-            // The platform asks again where an answer was lost.
-            let _ = connection.await;
-        });
-    }
-}
+/// Answers a GET by its path alone.
+pub type PageAnswer = fn(&ForwardGate, &str) -> Response<AnyBody>;
 
-/// Serves the metrics page.
-pub async fn serve_metrics(gate: Arc<ForwardGate>, listener: TcpListener) {
+/// Serves pages about this entry: its readiness, or its metrics.
+pub async fn serve_pages(gate: Arc<ForwardGate>, listener: TcpListener, answer: PageAnswer) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_WAIT).await;
@@ -115,19 +96,20 @@
         let gate = Arc::clone(&gate);
         tokio::spawn(async move {
             let service = service_fn(move |request: hyper::Request<_>| {
-                let answer = metrics_page(&gate, request.uri().path());
-                async move { Ok::<_, Infallible>(answer) }
+                let page = answer(&gate, request.uri().path());
+                async move { Ok::<_, Infallible>(page) }
             });
             let connection = http1::Builder::new()
                 .timer(TokioTimer::new())
                 .serve_connection(TokioIo::new(stream), service);
-            // A scraper that lost the answer asks again.
+            // Whoever lost the answer asks again.
             let _ = connection.await;
         });
     }
 }
 
-fn metrics_page(gate: &ForwardGate, path: &str) -> Response<AnyBody> {
+/// Counters, histograms and gauges of this entry.
+pub fn metrics_page(gate: &ForwardGate, path: &str) -> Response<AnyBody> {
     if path != METRICS_PATH {
         return empty_response(StatusCode::NOT_FOUND);
     }
@@ -135,7 +117,8 @@
     Response::new(full(gate.metrics.text(&levels)))
 }
 
-fn readiness(gate: &ForwardGate, path: &str) -> Response<AnyBody> {
+/// Whether this entry takes new connections.
+pub fn readiness(gate: &ForwardGate, path: &str) -> Response<AnyBody> {
     if path != gate.dialect.ready_path {
         return empty_response(StatusCode::NOT_FOUND);
     }
--- a/crates/entry/src/forward/mod.rs
+++ b/crates/entry/src/forward/mod.rs
@@ -10,6 +10,7 @@
 pub mod daemon;
 pub mod dialect;
 mod door;
+mod ending;
 mod exchange;
 mod intake;
 mod links;
--- a/crates/entry/src/forward/pipeline.rs
+++ b/crates/entry/src/forward/pipeline.rs
@@ -8,7 +8,6 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::{Request, Response};
-use rand::Rng;
 
 use chestnutloft_core::hash::key_hash;
 use chestnutloft_core::routing::{CallKind, ClimbCandidate, ModelLadder, ModelLane};
@@ -24,7 +23,7 @@
 use super::relay::StreamRelay;
 
 /// Time that must be left to begin an attempt.
-const MIN_LEFT: Duration = Duration::from_millis(15);
+pub(super) const MIN_LEFT: Duration = Duration::from_millis(15);
 /// Wait between two looks for an endpoint.
 const PLACE_INTERVAL: Duration = Duration::from_millis(20);
 /// Share of the aim that a call waits for an endpoint to take work.
@@ -39,10 +38,6 @@
 const STREAM_SILENCE_MARGIN: Duration = Duration::from_millis(700);
 /// Attempts beyond the route's limit that endpoints may reject without running them.
 const REJECTED_ATTEMPTS: u32 = 2;
-/// Shortest time after which a refused caller comes back.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(150);
-/// Longest.
-const MAX_RETRY_AFTER: Duration = Duration::from_millis(900);
 
 /// Answers one call.
 pub async fn answer_call(gate: Arc<ForwardGate>, request: Request<Incoming>) -> Response<AnyBody> {
@@ -64,13 +59,13 @@
     pub gate: Arc<ForwardGate>,
     /// The call.
     pub call: InboundCall,
-    tried: BTreeSet<Arc<str>>,
-    runs: u32,
-    rejected: u32,
-    may_have_run: bool,
+    pub(super) tried: BTreeSet<Arc<str>>,
+    pub(super) runs: u32,
+    pub(super) rejected: u32,
+    pub(super) may_have_run: bool,
     /// Place of the model on the route's ladder.
     pub rung: usize,
-    failure: &'static str,
+    pub(super) failure: &'static str,
 }
 
 impl Drop for CallRun {
@@ -453,63 +448,6 @@
         }
         AnswerVerdict::Reply(response)
     }
-
-    /// Logs what the caller gets.
-    pub fn log_answer(&self, now: TimePoint, answer: &LiveAnswer, bytes: usize) {
-        let status = answer.parts.status.as_u16();
-        self.gate.metrics.note_answer(&self.call, status, self.rung);
-        spdlog::info!(
-            "call {}: {} answers {} on route {} with {bytes} bytes after {} ms, attempt {}, rung {}.",
-            self.call.head.id,
-            answer.ticket.endpoint.id,
-            status,
-            self.call.route.name,
-            now.since(self.call.came_at).as_millis(),
-            self.runs,
-            self.rung
-        );
-    }
-
-    fn give_up(&self) -> CallRefusal {
-        let now = clock::now();
-        if !self.may_have_run {
-            return self.refusal(now, "its time is over");
-        }
-        if self.call.left(now) < MIN_LEFT {
-            CallRefusal::TimedOut
-        } else {
-            CallRefusal::Failed(self.failure)
-        }
-    }
-
-    fn refusal(&self, now: TimePoint, reason: &'static str) -> CallRefusal {
-        if self.may_have_run {
-            return CallRefusal::Failed(reason);
-        }
-        let reason = if self.failure.is_empty() {
-            reason
-        } else {
-            self.failure
-        };
-        let latest = (self.call.left(now) / 4).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
-        let spread = rand::rng().random_range(0.4..1.0);
-        CallRefusal::NotRun {
-            reason,
-            retry_after: latest.mul_f64(spread),
-        }
-    }
-
-    fn refuse(&self, refusal: &CallRefusal) -> Response<AnyBody> {
-        self.gate.metrics.note_refusal(Some(&self.call), refusal);
-        spdlog::info!(
-            "call {}: refused on route {} after {} ms and {} attempts: {refusal}.",
-            self.call.head.id,
-            self.call.route.name,
-            clock::now().since(self.call.came_at).as_millis(),
-            self.runs
-        );
-        (self.gate.dialect.write_refusal)(refusal, Some(&self.call.head.id))
-    }
 }
 
 fn is_success(answer: &LiveAnswer) -> bool {
