Give a shared prompt prefix one owner over all failure domains

A subject came back to the same owner every 26 s (small model) or 57 s (large model), later than the time after which an endpoint has evicted it under the requests' own parts. Shared parts were read again more often than found.

Change: owners are ranked over all candidates of the lane. The penalty for another failure domain still decides for short prefixes. Ranking is a selection instead of a comparison of all candidates with all (57,600 at 240 endpoints).

Failed trial: two backups for each prefix, with a falling chance of having it cached.

--- a/crates/core/src/routing/placement.rs
+++ b/crates/core/src/routing/placement.rs
@@ -25,7 +25,7 @@
     pub trial_ms: f64,
     /// Factor on the time to process a prefix that the endpoint has not cached.
     pub prefix_weight: f64,
-    /// Number of endpoints per failure domain that keep a given prefix cached.
+    /// Number of endpoints that keep a given prefix cached.
     pub prefix_copies: usize,
     /// Share of the endpoints that form the lane of the smallest model.
     pub small_lane_share: f64,
@@ -179,27 +179,32 @@
 }
 
 /// Returns for each candidate whether it owns the call's prefix, that is, whether it ranks among
-/// the first `prefix_copies` of its failure domain and lane by rendezvous hash.
+/// the first `prefix_copies` of its lane by rendezvous hash.
+///
+/// Failure domains do not count: if each of them had an owner, calls with the prefix would reach an
+/// owner so rarely that it would have evicted the prefix by the next one.
 fn find_prefix_owners(
     settings: &PlacementSettings,
     request: &PlacementRequest<'_>,
     candidates: &[EndpointCandidate<'_>],
     in_lane: &[bool],
 ) -> Vec<bool> {
+    let mut owners = vec![false; candidates.len()];
     let Some(prefix) = request.prefix_key else {
-        return vec![false; candidates.len()];
+        return owners;
     };
-    let weights = candidates
-        .iter()
-        .map(|candidate| rendezvous_weight(&prefix.to_le_bytes(), candidate.id.as_bytes()));
-    let weights: Vec<u64> = weights.collect();
-    let is_owner = |index: usize| {
-        let is_ahead = |other: &usize| {
-            in_lane[*other]
-                && candidates[*other].domain == candidates[index].domain
-                && weights[*other] > weights[index]
-        };
-        in_lane[index] && (0..candidates.len()).filter(is_ahead).count() < settings.prefix_copies
+    let members = (0..candidates.len()).filter(|index| in_lane[*index]);
+    let weigh = |index: usize| {
+        let id = candidates[index].id.as_bytes();
+        (rendezvous_weight(&prefix.to_le_bytes(), id), index)
     };
-    (0..candidates.len()).map(is_owner).collect()
+    let mut ranked: Vec<(u64, usize)> = members.map(weigh).collect();
+    let copies = settings.prefix_copies.min(ranked.len());
+    if copies > 0 {
+        ranked.select_nth_unstable_by(copies - 1, |a, b| b.cmp(a));
+    }
+    for (_, index) in &ranked[..copies] {
+        owners[*index] = true;
+    }
+    owners
 }
--- a/crates/core/tests/routing/placement.rs
+++ b/crates/core/tests/routing/placement.rs
@@ -93,6 +93,49 @@
     assert_ne!(selected_id(&request(Some(77)), &busy), owner);
 }
 
+#[test]
+fn calls_from_all_failure_domains_go_to_the_same_owner_of_a_long_prefix() {
+    let domains = ["north", "south", "west"];
+    let names: Vec<String> = (0..12).map(|number| format!("w{number}")).collect();
+    let spread = names.iter().zip(domains.iter().cycle());
+    let candidates: Vec<_> = spread
+        .map(|(name, domain)| candidate(name, domain))
+        .collect();
+
+    let owners: BTreeSet<String> = domains
+        .iter()
+        .map(|domain| {
+            let request = PlacementRequest {
+                domain,
+                ..request(Some(77))
+            };
+            selected_id(&request, &candidates)
+        })
+        .collect();
+
+    assert_eq!(owners.len(), 1, "{owners:?}");
+}
+
+#[test]
+fn a_short_prefix_does_not_draw_a_call_into_another_failure_domain() {
+    let names: Vec<String> = (0..12).map(|number| format!("w{number}")).collect();
+    let spread = names.iter().zip(["north", "south"].iter().cycle());
+    let candidates: Vec<_> = spread
+        .map(|(name, domain)| candidate(name, domain))
+        .collect();
+
+    let is_local = |key: u64| {
+        let request = PlacementRequest {
+            prefix_ms: 5.0,
+            ..request(Some(key))
+        };
+        let selected = select_endpoint(&PlacementSettings::default(), &request, &candidates);
+        candidates[selected.expect("candidates").index].domain == "north"
+    };
+
+    assert!((0..50).all(is_local));
+}
+
 #[test]
 fn removing_an_endpoint_moves_few_prefixes() {
     let names: Vec<String> = (0..8).map(|number| format!("w{number}")).collect();
