Escalate where the expected gain pays for the larger model

Cause: the minimum confidence fell with the time between events in absolute milliseconds.

Change: a larger model is asked if the worth of the answer (by its tokens) times the chance that it is wrong (by its confidence) exceeds the larger model's declared cost for this call. The price rises as the pool fills, by queueing delay, load, and the slowdown of streams relative to the same pool when idle, which each entry learns as a low quantile. So a filling pool first gives up what gains least for its price. The settings bar, busy_gap_ms and full_gap_ms are gone; a settings file that still has them is rejected with the name of the key.

--- a/crates/core/src/routing/escalation.rs
+++ b/crates/core/src/routing/escalation.rs
@@ -1,48 +1,84 @@
 //! Model cascade: decides whether an answer is good enough to be forwarded to the caller or is
-//! discarded in favour of one from a larger model.
+//! discarded in favor of one from a larger model.
+//!
+//! A larger model is asked if the expected gain pays for it. The gain is the worth of the answer
+//! times the chance that the present one is wrong. The price is what the larger model charges for
+//! the call, multiplied as the pool fills up: its time is then taken from other calls. So an idle
+//! pool escalates whatever pays, and a filling pool first gives up the escalations that gain least
+//! for their price.
 
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
-/// When a call is escalated to a larger model.
+/// When a call is escalated to a larger model. Worth and price are in the unit of the declared
+/// cost of models.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct EscalationSettings {
-    /// Confidence, 0 to 100, below which an answer is discarded for that of a larger model.
-    pub bar: f64,
+    /// Worth of a right answer for each 1,000 tokens of its prompt.
+    pub prompt_worth: f64,
+    /// Worth of a right answer for each 1,000 tokens that it may generate.
+    pub output_worth: f64,
+    /// Price of a prompt token, as a fraction of that of a generated token.
+    pub prompt_price_share: f64,
+    /// Confidence, 0 to 100, at which an answer is as likely right as wrong.
+    pub even_confidence: f64,
+    /// Points of confidence that change the odds of a right answer by a factor of e.
+    pub confidence_scale: f64,
+    /// Chance of a wrong answer below which it is always forwarded.
+    pub min_error_chance: f64,
     /// Fraction of the target latency after which calls are no longer escalated, because the answer
     /// would be late.
     pub latest_share: f64,
-    /// Queueing delay of the pool, as a fraction of the target latency, above which the required
-    /// confidence is lowered. A larger model takes several times the work, which delays all calls
-    /// queued behind it.
+    /// Queueing delay of the pool, as a fraction of the target latency, above which escalations
+    /// become dearer. A larger model takes several times the work, which delays all calls queued
+    /// behind it.
     pub busy_share: f64,
     /// Queueing delay, as a fraction of the target latency, from which calls are no longer
     /// escalated.
     pub full_share: f64,
-    /// Load of the pool, as a fraction of its slots, above which the required confidence is
-    /// lowered. Each call that an endpoint runs slows down all of its streams.
+    /// Load of the pool, as a fraction of its slots, above which escalations become dearer. Each
+    /// call that an endpoint runs slows down all of its streams.
     pub busy_load: f64,
     /// Load, as a fraction of the slots, from which calls are no longer escalated.
     pub full_load: f64,
-    /// Time between events in streams of larger models, in milliseconds, above which the required
-    /// confidence is lowered. The longer a stream runs, the more likely it misses its deadline or
-    /// is lost in a crash, and each additional stream slows down the others.
-    pub busy_gap_ms: f64,
-    /// Time between events, in milliseconds, from which calls are no longer escalated.
-    pub full_gap_ms: f64,
+    /// Time between events in streams of larger models, as a multiple of that in an idle pool,
+    /// above which escalations become dearer. The longer a stream runs, the more likely it misses
+    /// its deadline or is lost in a crash.
+    pub busy_slowdown: f64,
+    /// Multiple from which calls are no longer escalated.
+    pub full_slowdown: f64,
 }
 
 /// Load of the endpoints of a service.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PoolLoad {
     /// Mean time that a new call waits at an endpoint before its prompt is processed.
     pub queue_delay: Duration,
     /// Running and queued calls, as a fraction of the slots.
     pub utilization: f64,
-    /// Mean time between events in streams of larger models.
-    pub event_gap: Duration,
+    /// Time between events in streams of larger models, as a multiple of that in an idle pool.
+    pub slowdown: f64,
+}
+
+impl Default for PoolLoad {
+    fn default() -> Self {
+        Self {
+            queue_delay: Duration::ZERO,
+            utilization: 0.0,
+            slowdown: 1.0,
+        }
+    }
+}
+
+/// Tokens of a call.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct CallTokens {
+    /// Tokens of the prompt.
+    pub prompt: f64,
+    /// Tokens that the call may generate.
+    pub output: f64,
 }
 
 /// An answer that may be discarded for that of a larger model.
@@ -52,6 +88,8 @@
     pub model_index: usize,
     /// Confidence that the model reports for its answer, 0 to 100.
     pub confidence: Option<f64>,
+    /// Size of the call.
+    pub tokens: CallTokens,
     /// Time since the call arrived.
     pub elapsed: Duration,
     /// Target time until the answer begins.
@@ -61,14 +99,19 @@
 impl Default for EscalationSettings {
     fn default() -> Self {
         Self {
-            bar: 52.0,
+            prompt_worth: 0.09,
+            output_worth: 4.0,
+            prompt_price_share: 0.25,
+            even_confidence: 50.0,
+            confidence_scale: 6.0,
+            min_error_chance: 0.02,
             latest_share: 0.6,
-            busy_share: 0.2,
-            full_share: 0.9,
+            busy_share: 0.1,
+            full_share: 0.6,
             busy_load: 0.3,
             full_load: 1.0,
-            busy_gap_ms: 60.0,
-            full_gap_ms: 210.0,
+            busy_slowdown: 2.0,
+            full_slowdown: 7.0,
         }
     }
 }
@@ -77,45 +120,63 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct EscalationPolicy {
     settings: EscalationSettings,
-    model_count: usize,
+    /// Cost of each model per 1,000 generated tokens, smallest model first.
+    costs: Vec<f64>,
 }
 
 impl EscalationPolicy {
-    /// Creates a policy for `model_count` models.
-    pub fn new(settings: EscalationSettings, model_count: usize) -> Self {
-        Self {
-            settings,
-            model_count,
-        }
+    /// Creates a policy for models with these costs per 1,000 generated tokens, smallest first.
+    pub fn new(settings: EscalationSettings, costs: Vec<f64>) -> Self {
+        Self { settings, costs }
     }
 
     /// Returns the index of the model to ask next, or `None` if the answer is to be forwarded.
     /// Always escalates straight to the largest model. An answer without a confidence is forwarded.
     pub fn next_model(&self, answer: &EscalationCandidate, pool: PoolLoad) -> Option<usize> {
         let confidence = answer.confidence?;
-        let largest = self.model_count.checked_sub(1)?;
+        let largest = self.costs.len().checked_sub(1)?;
         let is_late = answer.elapsed > answer.target_latency.mul_f64(self.settings.latest_share);
-        if answer.model_index >= largest
-            || is_late
-            || confidence >= self.required_confidence(answer, pool)
-        {
+        if answer.model_index >= largest || is_late {
             return None;
         }
-        Some(largest)
+        let is_paid_for = self.error_chance(confidence) >= self.min_error_chance(answer, pool);
+        is_paid_for.then_some(largest)
+    }
+
+    /// Chance that an answer of this confidence is wrong.
+    fn error_chance(&self, confidence: f64) -> f64 {
+        let settings = &self.settings;
+        let odds = ((confidence - settings.even_confidence) / settings.confidence_scale).exp();
+        1.0 / (1.0 + odds)
+    }
+
+    /// Chance of a wrong answer from which asking the largest model pays. Above 1, it never does.
+    fn min_error_chance(&self, answer: &EscalationCandidate, pool: PoolLoad) -> f64 {
+        let settings = &self.settings;
+        let CallTokens { prompt, output } = answer.tokens;
+        let worth = (prompt * settings.prompt_worth + output * settings.output_worth) / 1_000.0;
+        let billed_tokens = prompt * settings.prompt_price_share + output;
+        let cost = self.costs.last().copied().unwrap_or_default();
+        let price = billed_tokens / 1_000.0 * cost;
+        let idle_chance = (price / worth.max(f64::EPSILON)).max(settings.min_error_chance);
+        idle_chance / self.headroom(answer, pool).max(f64::EPSILON)
     }
 
-    /// The configured confidence while the pool is idle, falling linearly to 0 as it fills up.
-    fn required_confidence(&self, answer: &EscalationCandidate, pool: PoolLoad) -> f64 {
+    /// Capacity left in the pool, from 1 while it is idle to 0 when it is full.
+    fn headroom(&self, answer: &EscalationCandidate, pool: PoolLoad) -> f64 {
         let settings = &self.settings;
         let delay_share =
             pool.queue_delay.as_secs_f64() / answer.target_latency.as_secs_f64().max(0.001);
-        let gap_ms = pool.event_gap.as_secs_f64() * 1_000.0;
-        let headroom = |measured: f64, busy: f64, full: f64| {
+        let left = |measured: f64, busy: f64, full: f64| {
             ((full - measured) / (full - busy)).clamp(0.0, 1.0)
         };
-        let by_queue_delay = headroom(delay_share, settings.busy_share, settings.full_share);
-        let by_utilization = headroom(pool.utilization, settings.busy_load, settings.full_load);
-        let by_event_gap = headroom(gap_ms, settings.busy_gap_ms, settings.full_gap_ms);
-        settings.bar * by_queue_delay.min(by_utilization).min(by_event_gap)
+        let by_queue_delay = left(delay_share, settings.busy_share, settings.full_share);
+        let by_utilization = left(pool.utilization, settings.busy_load, settings.full_load);
+        let by_slowdown = left(
+            pool.slowdown,
+            settings.busy_slowdown,
+            settings.full_slowdown,
+        );
+        by_queue_delay.min(by_utilization).min(by_slowdown)
     }
 }
--- a/crates/core/src/routing/event_gap.rs
+++ b/crates/core/src/routing/event_gap.rs
@@ -69,3 +69,39 @@
         }
     }
 }
+
+/// Relative step of the idle gap towards a shorter measurement.
+const STEP_DOWN: f64 = 0.1;
+/// Relative step towards a longer one. Much smaller than the other, so that the estimate settles at
+/// a low quantile, which a busy time hardly moves.
+const STEP_UP: f64 = 0.005;
+
+/// Time between events in streams at an idle pool, learned as a low quantile of the measurements.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct IdleGap {
+    gap_s: Option<f64>,
+}
+
+impl IdleGap {
+    /// Records the mean time between the events of a stream.
+    pub fn record(&mut self, gap: Duration) {
+        let measured = gap.as_secs_f64();
+        let Some(estimate) = &mut self.gap_s else {
+            self.gap_s = Some(measured);
+            return;
+        };
+        *estimate *= if measured < *estimate {
+            1.0 - STEP_DOWN
+        } else {
+            1.0 + STEP_UP
+        };
+    }
+
+    /// `gap` as a multiple of the idle gap; 1 if there is nothing to compare or to compare with.
+    pub fn slowdown(&self, gap: Duration) -> f64 {
+        match self.gap_s {
+            Some(idle) if idle > 0.0 && !gap.is_zero() => gap.as_secs_f64() / idle,
+            _ => 1.0,
+        }
+    }
+}
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -25,8 +25,10 @@
 pub use directory::{
     DirectoryChange, EndpointDirectory, EndpointNotice, EndpointPhase, NoticeOutcome, PoolEndpoint,
 };
-pub use escalation::{EscalationCandidate, EscalationPolicy, EscalationSettings, PoolLoad};
-pub use event_gap::{EventGapReport, EventGapTracker};
+pub use escalation::{
+    CallTokens, EscalationCandidate, EscalationPolicy, EscalationSettings, PoolLoad,
+};
+pub use event_gap::{EventGapReport, EventGapTracker, IdleGap};
 pub use health::{HealthSettings, PoolHealth};
 pub use load_aggregation::{EndpointHash, LoadAggregator, LoadSummary, WaitingWork, endpoint_hash};
 pub use placement::{
--- a/crates/entry/src/forward/choice.rs
+++ b/crates/entry/src/forward/choice.rs
@@ -138,14 +138,12 @@
             slots += f64::from(endpoint.notice.slots);
             count += 1.0;
         }
+        let event_gap = self.large_model_event_gap.report(now);
+        let event_gap = event_gap.merge(self.peer_event_gap).mean();
         PoolLoad {
             queue_delay: Duration::from_secs_f64(wait_ms / f64::max(count, 1.0) / 1_000.0),
             utilization: load / f64::max(slots, 1.0),
-            event_gap: self
-                .large_model_event_gap
-                .report(now)
-                .merge(self.peer_event_gap)
-                .mean(),
+            slowdown: self.idle_event_gap.slowdown(event_gap),
         }
     }
 
--- a/crates/entry/src/forward/codec.rs
+++ b/crates/entry/src/forward/codec.rs
@@ -48,6 +48,8 @@
     pub model: RequestedModel,
     /// Segments of the prompt, in order; the last one is particular to this call or its session.
     pub prompt: Vec<PromptSegment>,
+    /// Number of tokens that the answer may have.
+    pub max_output_tokens: Option<u32>,
     /// Name of the session that the call belongs to.
     pub session: Option<String>,
 }
--- a/crates/entry/src/forward/outcomes.rs
+++ b/crates/entry/src/forward/outcomes.rs
@@ -38,6 +38,8 @@
     /// Records that `events` events in a stream of a larger model took `took`.
     pub fn record_event_gap(&mut self, now: TimePoint, events: u64, took: Duration) {
         self.large_model_event_gap.record(now, events as f64, took);
+        self.idle_event_gap
+            .record(took.div_f64((events as f64).max(1.0)));
     }
 
     /// Pending work per endpoint: attempts of this entry whose responses have not begun.
--- a/crates/entry/src/forward/pipeline.rs
+++ b/crates/entry/src/forward/pipeline.rs
@@ -10,7 +10,9 @@
 use hyper::{Request, Response};
 
 use chestnutloft_core::hash::key_hash;
-use chestnutloft_core::routing::{CallKind, EscalationCandidate, EscalationPolicy, ModelLane};
+use chestnutloft_core::routing::{
+    CallKind, CallTokens, EscalationCandidate, EscalationPolicy, ModelLane,
+};
 use chestnutloft_core::time::TimePoint;
 use chestnutloft_wire::clock;
 use chestnutloft_wire::http::{AnyBody, full};
@@ -37,6 +39,8 @@
 /// Time added to that multiple, and the lower bound of a stream's timeout: an unnecessary second
 /// attempt costs another endpoint the prefill of the whole prompt.
 const STREAM_TIMEOUT_MARGIN: Duration = Duration::from_millis(700);
+/// Tokens generated for a call that states no limit.
+const DEFAULT_OUTPUT_TOKENS: u32 = 256;
 /// Number by which the attempts that did not run may exceed the route's limit of attempts.
 const EXTRA_REJECTED_ATTEMPTS: u32 = 2;
 
@@ -390,13 +394,13 @@
             return false;
         }
         let now = clock::now();
-        let model_count = self.call.route.models.len();
-        let policy = EscalationPolicy::new(self.context.escalation.clone(), model_count);
+        let policy = EscalationPolicy::new(self.context.escalation.clone(), self.model_costs());
         let pool = self.context.state().pool_load(now, &self.call.service.name);
         let confidence = response.head.confidence;
         let candidate = EscalationCandidate {
             model_index: self.model_index,
             confidence,
+            tokens: self.tokens(),
             elapsed: now.since(self.call.received_at),
             target_latency: self.call.latency_target(),
         };
@@ -411,13 +415,13 @@
             return false;
         }
         spdlog::info!(
-            "call {}: confidence {:?} of model index {} is too low, trying model index {next}; pool queueing {} ms, load {:.2}, {} ms between events.",
+            "call {}: confidence {:?} of model index {} is too low, trying model index {next}; pool queueing {} ms, load {:.2}, streams slowed down {:.1} times.",
             self.call.head.id,
             confidence,
             self.model_index,
             pool.queue_delay.as_millis(),
             pool.utilization,
-            pool.event_gap.as_millis()
+            pool.slowdown
         );
         self.record_success(now, response);
         response.guard.mark_logged();
@@ -427,6 +431,25 @@
         true
     }
 
+    /// Cost per 1,000 generated tokens of each of the route's models.
+    fn model_costs(&self) -> Vec<f64> {
+        let rules = &self.call.service.models;
+        let cost = |model: &Arc<str>| {
+            let rule = rules.iter().find(|rule| rule.name == *model);
+            rule.map_or(0.0, |rule| rule.cost)
+        };
+        self.call.route.models.iter().map(cost).collect()
+    }
+
+    /// Size of the call.
+    fn tokens(&self) -> CallTokens {
+        let output = self.call.head.max_output_tokens;
+        CallTokens {
+            prompt: self.prompt().total_tokens(),
+            output: f64::from(output.unwrap_or(DEFAULT_OUTPUT_TOKENS)),
+        }
+    }
+
     /// Reads the whole body of a response that is not relayed as a stream. A server error to a call
     /// that may be repeated is stored as the fallback.
     async fn buffer_response(
--- a/crates/entry/src/forward/state.rs
+++ b/crates/entry/src/forward/state.rs
@@ -7,7 +7,7 @@
 
 use chestnutloft_core::routing::{
     ArmCount, ArmKey, ColdStartLimiter, EndpointNotice, EndpointPhase, EventGapReport,
-    EventGapTracker, HealthSettings, PlacementSettings, PoolHealth, PrefillTimeEstimator,
+    EventGapTracker, HealthSettings, IdleGap, PlacementSettings, PoolHealth, PrefillTimeEstimator,
     QueueDelayEstimator, RolloutState, RouteDeclaration, RouteTable, RoutingRevision,
     RoutingUpdate, ServiceRetryBudget, ServiceRetrySettings, SessionVersions,
 };
@@ -70,7 +70,9 @@
     pub(super) prefill_work: PrefillTimeEstimator,
     /// Time between events in streams of models larger than the smallest, at this entry.
     pub(super) large_model_event_gap: EventGapTracker,
-    /// The same at the peer entries, as they last reported it.
+    /// The same where the endpoints are idle.
+    pub(super) idle_event_gap: IdleGap,
+    /// Time between these events at the peer entries, as they last reported it.
     pub(super) peer_event_gap: EventGapReport,
     declaration: RouteDeclaration,
     pub(super) table: Arc<RouteTable>,
@@ -115,6 +117,7 @@
             queue_delays: QueueDelayEstimator::new(settings.pressure.clone()),
             prefill_work: PrefillTimeEstimator::default(),
             large_model_event_gap: EventGapTracker::default(),
+            idle_event_gap: IdleGap::default(),
             peer_event_gap: EventGapReport::default(),
             declaration: RouteDeclaration::default(),
             table: Arc::default(),
