Search for the leading keeper at all keepers, not at one after the other

Two keepers lost power at 9.5 s; a new leader stood at 9.84 s. The entry noticed at 10.49 s and polled one keeper at a time, in an order that held the dark ones twice (peers and seeds), each for a timeout of 1 s. It had no leader until after 14 s.

Change: while no leader is known, the keepers are polled 100 ms apart without waiting for the answers before, each address once, the lost leader last; a named leader is polled at once. The search is code of its own (leader_search.rs), tested without a network under a paused clock; with one keeper after the other these tests wait for seconds.

--- a/crates/entry/src/forward/mod.rs
+++ b/crates/entry/src/forward/mod.rs
@@ -13,6 +13,7 @@
 pub mod context;
 pub mod daemon;
 mod inbound;
+pub mod leader_search;
 mod load_exchange;
 pub mod metrics;
 mod outcomes;
--- a/crates/entry/src/forward/watch.rs
+++ b/crates/entry/src/forward/watch.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use chestnutloft_core::routing::{RoutingUpdate, SessionHash};
 use chestnutloft_core::time::TimePoint;
 use chestnutloft_wire::clock;
 use chestnutloft_wire::message::{PeerLists, WatchCall, WatchReply, sessions_hash};
@@ -12,9 +13,10 @@
 use chestnutloft_wire::settings::SeedReader;
 
 use super::context::ForwardContext;
+use super::leader_search::{FoundLeader, KeeperAnswer, search_leader};
 use super::settings::ForwardSettings;
 
-/// Timeout of one poll: longer than a keeper holds a poll open while there is no update.
+/// Timeout of a poll of the known leader: longer than a keeper holds a poll open while there is no update.
 const POLL_TIMEOUT: Duration = Duration::from_secs(1);
 /// Delay after a poll that yielded no update.
 const RETRY_DELAY: Duration = Duration::from_millis(60);
@@ -59,11 +61,18 @@
     bound_hash: u64,
     /// Leading keeper, if known.
     leader: Option<String>,
-    /// Number of keepers polled without success; selects the next one while no leader is known.
-    failed_polls: usize,
+    /// Keeper that led last, if it no longer answers.
+    lost_leader: Option<String>,
     is_connected: bool,
 }
 
+/// Reply of the leading keeper to a poll: see [`WatchReply::Current`].
+struct CurrentReply {
+    update: Box<RoutingUpdate>,
+    peers: Option<PeerLists>,
+    bound_sessions: Option<Vec<SessionHash>>,
+}
+
 /// Polls the keepers until the process ends.
 pub async fn watch_keepers(context: Arc<ForwardContext>, rpc_client: RpcClient, seeds: SeedList) {
     let mut watch = KeeperWatch {
@@ -73,7 +82,7 @@
         peers: PeerLists::default(),
         bound_hash: sessions_hash(&[]),
         leader: None,
-        failed_polls: 0,
+        lost_leader: None,
         is_connected: false,
     };
     loop {
@@ -82,70 +91,91 @@
 }
 
 impl KeeperWatch {
-    fn keepers(&self) -> impl Iterator<Item = &String> {
-        self.peers.keepers.iter().chain(&self.seeds.addresses)
-    }
-
-    /// Moves on to the next keeper. Once all have been polled, reads the seeds again, since the
-    /// settings file may name other keepers by now.
-    fn select_next_keeper(&mut self) {
-        self.failed_polls += 1;
-        if self.failed_polls.is_multiple_of(self.keepers().count()) {
-            self.seeds.refresh();
-        }
-    }
-
-    /// Address of the keeper to poll: the leader if known, else each keeper in turn.
-    fn poll_address(&self) -> String {
-        let next_keeper = || {
-            let all: Vec<&String> = self.keepers().collect();
-            all[self.failed_polls % all.len()].clone()
-        };
-        self.leader.clone().unwrap_or_else(next_keeper)
+    /// Keepers to poll while the leader is unknown, the one that led last at the end.
+    fn keepers(&self) -> Vec<String> {
+        let known = self.peers.keepers.iter().chain(&self.seeds.addresses);
+        let (mut first, last): (Vec<_>, Vec<_>) = known
+            .cloned()
+            .partition(|address| Some(address) != self.lost_leader.as_ref());
+        first.extend(last);
+        first
     }
 
     async fn poll_once(&mut self) {
-        let address = self.poll_address();
         let requested_at = clock::now();
         let call = self.watch_call(requested_at);
+        let found = match self.leader.clone() {
+            Some(leader) => self.poll_leader(leader, &call).await,
+            None => search_leader(&self.keepers(), |address| self.poll(address, &call)).await,
+        };
+        let now = clock::now();
+        match found {
+            Ok(leader) => self.apply_reply(now, requested_at, leader),
+            Err(problem) => {
+                // The settings file may name other keepers by now.
+                if self.leader.is_none() {
+                    self.seeds.refresh();
+                }
+                self.lost_leader = self.leader.take().or(self.lost_leader.take());
+                self.context.load_exchange.leader.send_replace(None);
+                self.log_connectivity(now, false, &problem);
+                tokio::time::sleep(RETRY_DELAY).await;
+            }
+        }
+    }
+
+    /// Polls one keeper without a timeout of its own.
+    async fn poll(&self, address: String, call: &WatchCall) -> KeeperAnswer<CurrentReply> {
         let reply = self
             .rpc_client
-            .call::<_, WatchReply>(&address, Method::Watch, &call, POLL_TIMEOUT)
+            .call::<_, WatchReply>(&address, Method::Watch, call, POLL_TIMEOUT)
             .await;
-        let now = clock::now();
         match reply {
             Ok(WatchReply::Current {
                 update,
                 peers,
                 bound_sessions,
-            }) => {
-                self.context
-                    .load_exchange
-                    .leader
-                    .send_replace(Some(address.clone()));
-                self.leader = Some(address);
-                self.log_connectivity(now, true, "");
-                if let Some(hashes) = bound_sessions {
-                    self.bound_hash = sessions_hash(&hashes);
-                    self.context.state().bind_sessions(&hashes);
-                }
-                self.apply_update(now, requested_at, *update, peers);
-            }
-            Ok(WatchReply::NotLeader(hint)) => {
-                self.select_next_keeper();
-                // A keeper that names itself as the leader but does not lead is not polled again at
-                // once.
-                self.leader = hint.filter(|hint| *hint != address);
-                tokio::time::sleep(RETRY_DELAY).await;
-            }
-            Err(error) => {
-                self.select_next_keeper();
-                self.leader = None;
-                self.context.load_exchange.leader.send_replace(None);
-                self.log_connectivity(now, false, &error.to_string());
-                tokio::time::sleep(RETRY_DELAY).await;
-            }
+            }) => KeeperAnswer::Leader(CurrentReply {
+                update,
+                peers,
+                bound_sessions,
+            }),
+            Ok(WatchReply::NotLeader(hint)) => KeeperAnswer::Follower(hint),
+            Err(error) => KeeperAnswer::Failed(error.to_string()),
+        }
+    }
+
+    /// Polls the keeper that led at the last poll.
+    async fn poll_leader(
+        &self,
+        address: String,
+        call: &WatchCall,
+    ) -> Result<FoundLeader<CurrentReply>, String> {
+        match self.poll(address.clone(), call).await {
+            KeeperAnswer::Leader(reply) => Ok(FoundLeader { address, reply }),
+            KeeperAnswer::Follower(_) => Err(format!("{address} no longer leads")),
+            KeeperAnswer::Failed(reason) => Err(format!("no answer: {reason}")),
+        }
+    }
+
+    fn apply_reply(
+        &mut self,
+        now: TimePoint,
+        requested_at: TimePoint,
+        leader: FoundLeader<CurrentReply>,
+    ) {
+        let FoundLeader { address, reply } = leader;
+        self.context
+            .load_exchange
+            .leader
+            .send_replace(Some(address.clone()));
+        self.leader = Some(address);
+        self.log_connectivity(now, true, "");
+        if let Some(hashes) = reply.bound_sessions {
+            self.bound_hash = sessions_hash(&hashes);
+            self.context.state().bind_sessions(&hashes);
         }
+        self.apply_update(now, requested_at, *reply.update, reply.peers);
     }
 
     fn watch_call(&self, now: TimePoint) -> WatchCall {
@@ -165,7 +195,7 @@
         &mut self,
         now: TimePoint,
         requested_at: TimePoint,
-        update: chestnutloft_core::routing::RoutingUpdate,
+        update: RoutingUpdate,
         peers: Option<PeerLists>,
     ) {
         let mut state = self.context.state();
