Bound the body of a response that is read whole

Cause: a body without end was buffered until the call's deadline, as fast as the endpoint sent it: 504 after 3 s, and memory without bound (shown by the new test, which failed). A head without end, an event without end and repeated events were cut off already: by the connection's head limit, the event limit, and the deadline.

Change: a response that is read whole may have 8 MiB; beyond, the attempt counts as broken off, which closes the connection and counts as a failure of the endpoint.

--- a/crates/entry/src/forward/pipeline.rs
+++ b/crates/entry/src/forward/pipeline.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 
@@ -41,6 +41,9 @@
 const STREAM_TIMEOUT_MARGIN: Duration = Duration::from_millis(700);
 /// Tokens generated for a call that states no limit.
 const DEFAULT_OUTPUT_TOKENS: u32 = 256;
+/// Largest response body that is not relayed as a stream. A failing endpoint may send bytes without
+/// end, which would take up the entry's memory.
+const MAX_BUFFERED_BYTES: usize = 8 * 1024 * 1024;
 /// Number by which the attempts that did not run may exceed the route's limit of attempts.
 const EXTRA_REJECTED_ATTEMPTS: u32 = 2;
 
@@ -509,8 +512,9 @@
     response.parts.status.is_success()
 }
 
+/// Reads a body of at most [`MAX_BUFFERED_BYTES`].
 async fn read_body(body: &mut Incoming) -> Result<Bytes, String> {
-    let collected = body.collect().await;
+    let collected = Limited::new(body, MAX_BUFFERED_BYTES).collect().await;
     collected
         .map(http_body_util::Collected::to_bytes)
         .map_err(|error| error.to_string())
