Keep pinned sessions when another service is rolled out

Cause: the start or end of any roll-out discarded the sessions that other entries had pinned to the old version, of all services.

Change: pins are discarded only while no other service is on trial. A pin that stays longer keeps its session on the old version, which is never wrong.

--- a/crates/core/src/routing/sessions.rs
+++ b/crates/core/src/routing/sessions.rs
@@ -129,10 +129,14 @@
         self.pinned_to_old.extend(hashes);
     }
 
-    /// Resets all sessions of `service` to the old version at the start and end of a roll-out, and
-    /// discards the sessions of all services that other entries have pinned.
-    pub fn reset(&mut self, service: &str) {
-        self.pinned_to_old.clear();
+    /// Resets all sessions of `service` to the old version at the start and end of a roll-out.
+    ///
+    /// Sessions that other entries have pinned are known by hash only, so they are discarded
+    /// together, and only while no other service is on trial.
+    pub fn reset(&mut self, service: &str, is_other_on_trial: bool) {
+        if !is_other_on_trial {
+            self.pinned_to_old.clear();
+        }
         for tracked in self.sessions.values_mut() {
             if *tracked.service == *service {
                 tracked.is_on_target = false;
--- a/crates/entry/src/forward/state.rs
+++ b/crates/entry/src/forward/state.rs
@@ -8,7 +8,7 @@
 use chestnutloft_core::routing::{
     ArmCount, ArmKey, ColdStartLimiter, EndpointNotice, EndpointPhase, EventGapReport,
     EventGapTracker, HealthSettings, IdleGap, PlacementSettings, PoolHealth, PrefillTimeEstimator,
-    QueueDelayEstimator, RolloutState, RouteDeclaration, RouteTable, RoutingRevision,
+    QueueDelayEstimator, RolloutStage, RolloutState, RouteDeclaration, RouteTable, RoutingRevision,
     RoutingUpdate, ServiceRetryBudget, ServiceRetrySettings, SessionVersions,
 };
 use chestnutloft_core::time::TimePoint;
@@ -271,7 +271,10 @@
                 self.rollouts_known_at.insert(Arc::clone(&service), now);
             }
             if is_new || rollout.stage.is_final() {
-                self.sessions.reset(&service);
+                let is_other_on_trial = self.rollouts.values().any(|other| {
+                    other.order.service != service && other.stage == RolloutStage::Trial
+                });
+                self.sessions.reset(&service, is_other_on_trial);
             }
             self.rollouts.insert(service, rollout);
         }
--- a/crates/entry/tests/state.rs
+++ b/crates/entry/tests/state.rs
@@ -6,7 +6,8 @@
 
 use chestnutloft_core::routing::{
     DeclarationUpdate, DirectoryChange, EndpointNotice, EndpointPhase, ModelLane, PoolEndpoint,
-    RolloutOrder, RolloutStage, RolloutState, RoutingUpdate, ServiceRule,
+    RolloutOrder, RolloutStage, RolloutState, RoutingUpdate, ServiceRule, SessionHash,
+    session_hash,
 };
 use chestnutloft_core::time::TimePoint;
 use chestnutloft_entry::forward::choice::{
@@ -188,3 +189,31 @@
 
     assert_eq!(moved.count(), 0);
 }
+
+/// Sessions that other entries serve are known by the keepers' list only. A roll-out of another
+/// service must not release them.
+#[test]
+fn sessions_pinned_by_other_entries_stay_on_the_old_version_when_another_service_is_rolled_out() {
+    let mut state = state_with_v1_endpoint();
+    let trial = RoutingUpdate {
+        index: 2,
+        endpoints: vec![endpoint("new", "v2", 2, 0)],
+        rollouts: Some(vec![rollout(RolloutStage::Trial, 2)]),
+        ..RoutingUpdate::default()
+    };
+    state.apply(at(10), at(10), trial);
+    let pinned: Vec<SessionHash> = (0..SESSIONS).map(|key| session_hash("llm", key)).collect();
+    state.bind_sessions(&pinned);
+    let mut other = rollout(RolloutStage::Trial, 3);
+    other.order.service = Arc::from("orders");
+    let other_trial = RoutingUpdate {
+        index: 3,
+        rollouts: Some(vec![rollout(RolloutStage::Trial, 2), other]),
+        ..RoutingUpdate::default()
+    };
+    state.apply(at(500), at(500), other_trial);
+
+    let moved = (0..SESSIONS).filter(|session| version_of(&mut state, at(1_600), *session) == "v2");
+
+    assert_eq!(moved.count(), 0);
+}
