Go on past endpoints that refuse connections

Each of 295 entries finds out about each crashed endpoint by a call of its own, and a crashed endpoint looks idle, so it is preferred.

Change: a call goes on past refused connections, which take a round trip, to endpoints that it has not tried, up to 32 of them and within its latency target. An attempt that reached no endpoint takes nothing from the retry budget: it puts no load on the service. Attempts that an endpoint rejected are limited as before.

Test: with 24 closed addresses beside one endpoint, a call was refused (503); now it is served by that endpoint, once. With none left, it is still refused as not run, with a time to come back.

--- a/crates/entry/src/forward/pipeline.rs
+++ b/crates/entry/src/forward/pipeline.rs
@@ -46,6 +46,9 @@
 const MAX_BUFFERED_BYTES: usize = 8 * 1024 * 1024;
 /// Number by which the attempts that did not run may exceed the route's limit of attempts.
 const EXTRA_REJECTED_ATTEMPTS: u32 = 2;
+/// Number of endpoints that refused the connection after which a call is given up. When part of a
+/// pool crashes, each entry finds out by its own calls, and the crashed endpoints look idle.
+const MAX_UNREACHABLE_ATTEMPTS: u32 = 32;
 
 /// Handles one call, from its request to the response for the caller.
 pub async fn handle_call(
@@ -74,8 +77,12 @@
     pub(super) tried: BTreeSet<Arc<str>>,
     /// Attempts made, not counting rejected ones.
     pub(super) attempts: u32,
-    /// Attempts that did not reach an endpoint or that it rejected without running the call.
+    /// Attempts that an endpoint rejected without running the call.
     pub(super) rejected_attempts: u32,
+    /// Attempts that did not reach an endpoint.
+    pub(super) unreachable_attempts: u32,
+    /// Whether the last attempt did not reach an endpoint.
+    is_last_unsent: bool,
     /// Whether an endpoint may have run the call without a valid response.
     pub(super) may_have_run: bool,
     /// Index of the current model in the route's list, smallest first.
@@ -113,6 +120,8 @@
             tried: BTreeSet::new(),
             attempts: 0,
             rejected_attempts: 0,
+            unreachable_attempts: 0,
+            is_last_unsent: false,
             may_have_run: false,
             model_index: 0,
             failure: "",
@@ -244,6 +253,7 @@
         );
         self.tried.insert(Arc::clone(&endpoint.id));
         self.attempts += 1;
+        self.is_last_unsent = false;
         let model = self.model();
         let sending = send_attempt(
             &self.context,
@@ -351,6 +361,23 @@
     pub fn has_attempts_left(&self) -> bool {
         self.attempts < self.call.route.max_attempts
             && self.rejected_attempts <= EXTRA_REJECTED_ATTEMPTS + self.call.route.max_attempts
+            && self.can_look_for_reachable()
+    }
+
+    /// Whether the call may go on to another endpoint after those that it could not reach. A refused
+    /// connection takes a round trip, so the limit is the number of endpoints that are left to try.
+    fn can_look_for_reachable(&self) -> bool {
+        let min_attempts = EXTRA_REJECTED_ATTEMPTS + self.call.route.max_attempts;
+        if self.unreachable_attempts <= min_attempts {
+            return true;
+        }
+        let known = self
+            .context
+            .state()
+            .available_endpoints(&self.call.service.name)
+            .count();
+        let is_early = clock::now().since(self.call.received_at) < self.call.latency_target();
+        is_early && self.unreachable_attempts < MAX_UNREACHABLE_ATTEMPTS && self.tried.len() < known
     }
 
     /// Applies a failed attempt to the call: its attempt counts, and whether it may have run.
@@ -358,7 +385,8 @@
         match failure {
             AttemptFailure::Unreachable(_) => {
                 self.attempts -= 1;
-                self.rejected_attempts += 1;
+                self.unreachable_attempts += 1;
+                self.is_last_unsent = true;
                 self.failure = "no endpoint could be reached";
             }
             AttemptFailure::NotRun { .. } => {
@@ -377,17 +405,19 @@
         }
     }
 
-    /// Whether the call may be sent once more. If so, takes a retry from the service's budget.
+    /// Whether the call may be sent once more. If so, takes a retry from the service's budget,
+    /// unless the last attempt reached no endpoint and so put no load on the service.
     pub fn acquire_retry(&mut self) -> bool {
         let now = clock::now();
         let is_safe = !self.may_have_run || self.call.route.kind.is_repeatable();
         is_safe
             && self.has_attempts_left()
             && self.call.time_left(now) > MIN_ATTEMPT_TIME
-            && self
-                .context
-                .state()
-                .take_retry(now, &self.call.service.name)
+            && (self.is_last_unsent
+                || self
+                    .context
+                    .state()
+                    .take_retry(now, &self.call.service.name))
     }
 
     /// Discards the response in favor of a larger model if its confidence is low and the pool has
