Count a prefix that is not cached four times its prefill time

That prefill costs the pool the same time again, and evicts other prefixes.

Change: the factor is 4. It had no effect while each failure domain had an owner of its own.

--- a/crates/core/src/routing/placement.rs
+++ b/crates/core/src/routing/placement.rs
@@ -40,7 +40,7 @@
             waiting_ms: 60.0,
             remote_ms: 40.0,
             trial_ms: 200.0,
-            prefix_weight: 1.5,
+            prefix_weight: 4.0,
             prefix_copies: 1,
             small_lane_share: 0.2,
             other_lane_ms: 300.0,
