Report the outcomes of a roll-out again after a failed poll

Cause: an entry handed its outcome counts to a poll and counted them as reported, also when no keeper answered. A new leader then lacked them until the next outcome on that entry. Found by reading the poll for the search for the leader.

Change: a failed poll has them reported again. The line on a lost leader says "no answer" once.

Test: counts taken twice are empty the second time, and whole again after a failed poll; failed first, since there was no way to have them reported again.

--- a/crates/entry/src/forward/leader_search.rs
+++ b/crates/entry/src/forward/leader_search.rs
@@ -75,7 +75,7 @@
                     polls.push(poll_after(Duration::ZERO, leader));
                 }
             }
-            KeeperAnswer::Failed(reason) => problem = format!("no answer: {address}: {reason}"),
+            KeeperAnswer::Failed(reason) => problem = format!("{address}: {reason}"),
         }
     }
     Err(problem)
--- a/crates/entry/src/forward/outcomes.rs
+++ b/crates/entry/src/forward/outcomes.rs
@@ -168,6 +168,11 @@
         self.has_new_arm_counts = true;
     }
 
+    /// Has the outcome counts reported once more, after the poll that carried them has failed.
+    pub fn resend_arm_counts(&mut self) {
+        self.has_new_arm_counts = !self.arms.is_empty();
+    }
+
     /// Outcome counts of all services with a roll-out in progress, or `None` if nothing has changed
     /// since the last call.
     pub fn take_arm_counts(&mut self) -> Option<Vec<(ArmKey, ArmCount)>> {
--- a/crates/entry/src/forward/watch.rs
+++ b/crates/entry/src/forward/watch.rs
@@ -118,6 +118,7 @@
                 }
                 self.lost_leader = self.leader.take().or(self.lost_leader.take());
                 self.context.load_exchange.leader.send_replace(None);
+                self.context.state().resend_arm_counts();
                 self.log_connectivity(now, false, &problem);
                 tokio::time::sleep(RETRY_DELAY).await;
             }
@@ -154,7 +155,7 @@
         match self.poll(address.clone(), call).await {
             KeeperAnswer::Leader(reply) => Ok(FoundLeader { address, reply }),
             KeeperAnswer::Follower(_) => Err(format!("{address} no longer leads")),
-            KeeperAnswer::Failed(reason) => Err(format!("no answer: {reason}")),
+            KeeperAnswer::Failed(reason) => Err(reason),
         }
     }
 
--- a/crates/entry/tests/state.rs
+++ b/crates/entry/tests/state.rs
@@ -217,3 +217,25 @@
 
     assert_eq!(moved.count(), 0);
 }
+
+#[test]
+fn outcomes_of_a_roll_out_are_reported_again_after_a_failed_poll() {
+    let mut state = state_with_v1_endpoint();
+    let trial = RoutingUpdate {
+        index: 2,
+        rollouts: Some(vec![rollout(RolloutStage::Trial, 2)]),
+        ..RoutingUpdate::default()
+    };
+    state.apply(at(10), at(10), trial);
+    let (service, version) = (Arc::from("llm"), Arc::from("v1"));
+    state.record_arm(&service, &version, "route/model", None);
+
+    let first = state.take_arm_counts();
+    let without_failure = state.take_arm_counts();
+    state.resend_arm_counts();
+    let after_failure = state.take_arm_counts();
+
+    assert_eq!(without_failure, None);
+    assert_eq!(after_failure, first);
+    assert!(first.is_some());
+}
