--- a/crates/entry/src/forward/pipeline.rs
+++ b/crates/entry/src/forward/pipeline.rs
@@ -365,7 +365,8 @@
     }
 
     /// Whether the call may go on to another endpoint after those that it could not reach. A refused
-    /// connection takes a round trip, so the limit is the number of endpoints that are left to try.
+    /// connection takes a round trip only, so the call may try all endpoints that it knows, within
+    /// its latency target.
     fn can_look_for_reachable(&self) -> bool {
         let min_attempts = EXTRA_REJECTED_ATTEMPTS + self.call.route.max_attempts;
         if self.unreachable_attempts <= min_attempts {
--- a/crates/entry/src/forward/watch.rs
+++ b/crates/entry/src/forward/watch.rs
@@ -16,7 +16,8 @@
 use super::leader_search::{FoundLeader, KeeperAnswer, search_leader};
 use super::settings::ForwardSettings;
 
-/// Timeout of a poll of the known leader: longer than a keeper holds a poll open while there is no update.
+/// Timeout of a poll of the known leader: longer than a keeper holds a poll open while there is no
+/// update.
 const POLL_TIMEOUT: Duration = Duration::from_secs(1);
 /// Delay after a poll that yielded no update.
 const RETRY_DELAY: Duration = Duration::from_millis(60);
@@ -125,7 +126,7 @@
         }
     }
 
-    /// Polls one keeper without a timeout of its own.
+    /// Polls one keeper, for at most [`POLL_TIMEOUT`].
     async fn poll(&self, address: String, call: &WatchCall) -> KeeperAnswer<CurrentReply> {
         let reply = self
             .rpc_client
