Log the shared prompt segments of each attempt

An attempt's line named endpoint, version and model, so that the logs could not tell calls that repeat an exposure from bystanders that share the endpoint.

--- a/crates/entry/src/forward/inbound.rs
+++ b/crates/entry/src/forward/inbound.rs
@@ -67,6 +67,13 @@
                 .as_bytes(),
         )
     }
+
+    /// Ids of the prompt segments that other calls may have as well: all but the last.
+    pub fn shared_segments(&self) -> Vec<u64> {
+        let shared = self.head.prompt.split_last().map(|(_, shared)| shared);
+        let shared = shared.unwrap_or_default().iter();
+        shared.map(|segment| segment.id).collect()
+    }
 }
 
 /// Reads a call with its body and matches it to a route.
--- a/crates/entry/src/forward/pipeline.rs
+++ b/crates/entry/src/forward/pipeline.rs
@@ -222,7 +222,7 @@
                 ..PromptSize::default()
             };
         };
-        let ids: Vec<u64> = prefix.iter().map(|segment| segment.id).collect();
+        let ids = self.call.shared_segments();
         PromptSize {
             model_hash,
             prefix_hash: (!ids.is_empty()).then(|| prefix_hash(&ids, model)),
@@ -241,9 +241,10 @@
         let prefill = &endpoint.prefill;
         let timeout = self.response_timeout(now, prefill.expected_delay());
         spdlog::info!(
-            "call {}: session {:016x} sent to endpoint {} with version {}, model index {}; expected queueing {:.0} ms, prefill of {} tokens in {:.0} ms.",
+            "call {}: session {:016x} with shared prompt segments {:x?} sent to endpoint {} with version {}, model index {}; expected queueing {:.0} ms, prefill of {} tokens in {:.0} ms.",
             self.call.head.id,
             self.call.session_key(),
+            self.call.shared_segments(),
             endpoint.id,
             endpoint.version,
             self.model_index,
