Block a prompt segment that ends the endpoints which begin to answer it

Cause: an end was held against the endpoint only. The call that had caused it was sent to two more, its repeats and its like to all of them; calls that shared an endpoint were sent again beside it. Class of fault: a retry that repeats the cause, and no memory of what failed together. A lost call is sent again once. Test: calls_with_a_segment_that_ends_workers_stop_reaching_workers failed with 30 of 30 calls; passes.

--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -12,6 +12,7 @@
 mod placement;
 mod queue_delay;
 mod rollout;
+mod segment_faults;
 mod sessions;
 mod state;
 mod table;
@@ -37,6 +38,10 @@
 };
 pub use queue_delay::{PrefillTimeEstimator, QueueDelayEstimator, QueueDelaySettings, QueueState};
 pub use rollout::{RolloutOrder, RolloutStage, RolloutState, RolloutTiming};
+pub use segment_faults::{
+    EndedEndpoint, EndpointEnd, LostCall, SegmentBlock, SegmentChange, SegmentFaultDetector,
+    SegmentFaultSettings, SegmentProgress, SegmentStage, SegmentSuspicion, SegmentSuspicions,
+};
 pub use sessions::{SessionHash, SessionVersions, VersionPreference, session_hash};
 pub use state::{
     DeclarationUpdate, RoutingCommand, RoutingOutcome, RoutingRevision, RoutingState,
--- a/crates/core/src/routing/state.rs
+++ b/crates/core/src/routing/state.rs
@@ -11,6 +11,7 @@
     ChangeIndex, DirectoryChange, EndpointDirectory, EndpointNotice, NoticeOutcome,
 };
 use super::rollout::{RolloutOrder, RolloutStage, RolloutState};
+use super::segment_faults::{SegmentBlock, SegmentChange};
 
 /// Number of declarations that keepers retain, so that entries can be sent differences.
 const MAX_DECLARATIONS: usize = 8;
@@ -49,6 +50,8 @@
         /// Time since the operator's request, in milliseconds.
         elapsed_ms: u64,
     },
+    /// Blocks or releases a prompt segment.
+    ChangeSegment(SegmentChange),
 }
 
 /// A declaration together with the text that the operator submitted.
@@ -84,6 +87,10 @@
     pub evacuated_at: ChangeIndex,
     /// Latest roll-out of each service.
     pub rollouts: BTreeMap<Arc<str>, RolloutState>,
+    /// Prompt segments that make endpoints fail.
+    pub blocked_segments: BTreeMap<u64, SegmentBlock>,
+    /// Last change of the blocked segments.
+    pub segments_changed_at: ChangeIndex,
     /// Last change of any kind.
     pub changed_at: ChangeIndex,
 }
@@ -110,6 +117,8 @@
     pub evacuated: Option<Vec<Arc<str>>>,
     /// All roll-outs, if any changed.
     pub rollouts: Option<Vec<RolloutState>>,
+    /// All blocked prompt segments, if any changed.
+    pub blocked_segments: Option<Vec<SegmentBlock>>,
 }
 
 /// Difference to the declaration that the entry has, or the full declaration.
@@ -238,6 +247,10 @@
                 stage,
                 elapsed_ms,
             } => self.advance_rollout(index, service, target, *stage, *elapsed_ms),
+            RoutingCommand::ChangeSegment(change) => (
+                RoutingOutcome::Accepted,
+                self.change_segment(index, *change),
+            ),
         };
         if is_change {
             self.changed_at = index;
@@ -280,6 +293,19 @@
         is_change
     }
 
+    fn change_segment(&mut self, index: ChangeIndex, change: SegmentChange) -> bool {
+        let is_change = match change {
+            SegmentChange::Set(block) => {
+                self.blocked_segments.insert(block.segment, block) != Some(block)
+            }
+            SegmentChange::Clear { segment } => self.blocked_segments.remove(&segment).is_some(),
+        };
+        if is_change {
+            self.segments_changed_at = index;
+        }
+        is_change
+    }
+
     fn start_rollout(&mut self, index: ChangeIndex, order: &RolloutOrder) -> bool {
         let is_duplicate = self
             .rollouts
@@ -345,6 +371,8 @@
             endpoints,
             evacuated: is_new(self.evacuated_at).then(|| self.evacuated.keys().cloned().collect()),
             rollouts: has_new_rollout.then(|| self.rollouts.values().cloned().collect()),
+            blocked_segments: is_new(self.segments_changed_at)
+                .then(|| self.blocked_segments.values().copied().collect()),
         }
     }
 
--- a/crates/core/tests/routing/main.rs
+++ b/crates/core/tests/routing/main.rs
@@ -11,6 +11,7 @@
 mod load_aggregation;
 mod placement;
 mod rollout;
+mod segment_faults;
 mod sessions;
 mod state;
 mod table;
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -9,7 +9,7 @@
 use hyper::body::Incoming;
 use hyper::http::response::Parts;
 
-use chestnutloft_core::routing::CallKind;
+use chestnutloft_core::routing::{CallKind, LostCall};
 use chestnutloft_core::time::TimePoint;
 use chestnutloft_wire::clock;
 
@@ -18,6 +18,7 @@
 use super::connections::{ConnectionError, EndpointConnection};
 use super::context::ForwardContext;
 use super::inbound::InboundCall;
+use super::segments::lost_call;
 
 /// Idle time after which a connection is not reused for a call that may run only once: if the
 /// endpoint resets an idle connection, that cannot be distinguished from a lost response.
@@ -68,13 +69,15 @@
     /// Prefill work in milliseconds that counts as pending at the endpoint; `None` once the
     /// response has begun.
     pending_ms: Option<f64>,
+    /// The call, until its answer has gone on or it is known not to have run.
+    unanswered: Option<LostCall>,
 }
 
 impl AttemptGuard {
     fn start(
         context: &Arc<ForwardContext>,
         now: TimePoint,
-        call_id: &str,
+        call: &InboundCall,
         endpoint: ChosenEndpoint,
     ) -> Self {
         let work_ms = endpoint.prefill.work_ms;
@@ -82,22 +85,29 @@
         context.load_exchange.notify_changed();
         Self {
             context: Arc::clone(context),
-            call_id: call_id.to_owned(),
+            call_id: call.head.id.clone(),
             is_logged: false,
             endpoint,
             started_at: now,
             pending_ms: Some(work_ms),
+            unanswered: lost_call(call),
         }
     }
 }
 
 impl AttemptGuard {
     /// Marks the outcome of the attempt as logged: a response, a failure, or an escalation to a
-    /// larger model. A guard dropped without it logs that the caller has disconnected.
+    /// larger model. A guard dropped without it logs that the call was cancelled.
     pub fn mark_logged(&mut self) {
         self.is_logged = true;
     }
 
+    /// Marks the answer as having gone on, or the call as not run: the end of the endpoint is then
+    /// not the fault of the call.
+    pub fn mark_harmless(&mut self) {
+        self.unanswered = None;
+    }
+
     /// Removes the prefill work of the attempt from the endpoint's pending work.
     pub fn finish_prefill(&mut self) {
         if let Some(work_ms) = self.pending_ms.take() {
@@ -112,10 +122,18 @@
 impl Drop for AttemptGuard {
     fn drop(&mut self) {
         self.finish_prefill();
-        self.context.state().finish_attempt(&self.endpoint.id);
+        let mut state = self.context.state();
+        state.finish_attempt(&self.endpoint.id);
+        if let Some(call) = self.unanswered.take() {
+            let now = clock::now();
+            state
+                .segments
+                .record_abandoned(now, &self.endpoint.id, call);
+        }
+        drop(state);
         if !self.is_logged {
             spdlog::info!(
-                "call {}: caller disconnected; attempt at endpoint {} cancelled after {} ms.",
+                "call {}: attempt at endpoint {} cancelled after {} ms.",
                 self.call_id,
                 self.endpoint.id,
                 clock::now().since(self.started_at).as_millis()
@@ -148,6 +166,7 @@
             ..
         } = self;
         guard.mark_logged();
+        guard.mark_harmless();
         if head.persistence != ConnectionPersistence::Close {
             let address = &guard.endpoint.address;
             guard.context.connections.put(now, address, connection);
@@ -167,7 +186,7 @@
     resume_after: Option<u64>,
     timeout: Duration,
 ) -> Result<EndpointResponse, AttemptFailure> {
-    let mut guard = AttemptGuard::start(context, clock::now(), &call.head.id, endpoint);
+    let mut guard = AttemptGuard::start(context, clock::now(), call, endpoint);
     let sending = send_call(context, call, &guard.endpoint, model, resume_after);
     let outcome = tokio::time::timeout(timeout, sending).await;
     let (response, mut connection) = match outcome.unwrap_or(Err(AttemptFailure::TimedOut(timeout)))
@@ -175,6 +194,9 @@
         Ok(received) => received,
         Err(failure) => {
             guard.mark_logged();
+            if matches!(failure, AttemptFailure::Unreachable(_)) {
+                guard.mark_harmless();
+            }
             return Err(failure);
         }
     };
@@ -198,8 +220,11 @@
     mut response: EndpointResponse,
 ) -> Result<EndpointResponse, AttemptFailure> {
     let checked = validate_head(context, &response);
-    if checked.is_err() {
+    if let Err(failure) = &checked {
         response.guard.mark_logged();
+        if matches!(failure, AttemptFailure::NotRun { .. }) {
+            response.guard.mark_harmless();
+        }
     }
     checked.map(|()| response)
 }
@@ -280,7 +305,9 @@
 
 fn attempt_failure(error: ConnectionError) -> AttemptFailure {
     match error {
-        ConnectionError::Unreachable(reason) => AttemptFailure::Unreachable(reason),
+        ConnectionError::Unreachable(reason) | ConnectionError::Refused(reason) => {
+            AttemptFailure::Unreachable(reason)
+        }
         ConnectionError::Closed => AttemptFailure::Unreachable(
             "a new connection was closed before the call was sent".to_owned(),
         ),
--- a/crates/entry/src/forward/codec.rs
+++ b/crates/entry/src/forward/codec.rs
@@ -135,6 +135,8 @@
     UnknownKey,
     /// The body exceeds the size limit.
     BodyTooLarge,
+    /// A segment of the prompt makes endpoints fail; another attempt would be refused as well.
+    PromptBlocked,
     /// The call has not run; the caller may retry.
     NotRun {
         /// Why.
@@ -156,6 +158,7 @@
             Self::NoRoute => "no_route",
             Self::UnknownKey => "unknown_key",
             Self::BodyTooLarge => "body_too_large",
+            Self::PromptBlocked => "prompt_blocked",
             Self::NotRun { .. } => "not_run",
             Self::TimedOut => "timed_out",
             Self::Failed(_) => "failed",
@@ -170,6 +173,7 @@
             Self::NoRoute => write!(f, "no route"),
             Self::UnknownKey => write!(f, "unknown key"),
             Self::BodyTooLarge => write!(f, "the body is too large"),
+            Self::PromptBlocked => write!(f, "a prompt segment makes endpoints fail"),
             Self::NotRun {
                 reason,
                 retry_after,
--- a/crates/entry/src/forward/connections.rs
+++ b/crates/entry/src/forward/connections.rs
@@ -1,6 +1,7 @@
 //! Pool of HTTP/1 connections to endpoints. A connection carries one call at a time.
 
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -29,6 +30,8 @@
 pub enum ConnectionError {
     /// No connection could be opened: the call was not sent.
     Unreachable(String),
+    /// The address refused the connection: no process listens there.
+    Refused(String),
     /// The connection was closed before the call was sent.
     Closed,
     /// The connection failed after the call was sent.
@@ -53,14 +56,18 @@
     /// Opens a connection to `address`.
     ///
     /// # Errors
-    /// [`ConnectionError::Unreachable`] when none is open within [`CONNECT_TIMEOUT`].
+    /// [`ConnectionError::Refused`] when the address refuses it, [`ConnectionError::Unreachable`]
+    /// when none is open within [`CONNECT_TIMEOUT`].
     pub async fn open(address: &str) -> Result<Self, ConnectionError> {
         let unreachable = |reason: String| ConnectionError::Unreachable(reason);
         let connecting = TcpStream::connect(address);
         let stream = tokio::time::timeout(CONNECT_TIMEOUT, connecting)
             .await
             .map_err(|_| unreachable(format!("connect timed out after {CONNECT_TIMEOUT:?}")))?
-            .map_err(|error| unreachable(error.to_string()))?;
+            .map_err(|error| match error.kind() {
+                ErrorKind::ConnectionRefused => ConnectionError::Refused(error.to_string()),
+                _ => unreachable(error.to_string()),
+            })?;
         let _ = stream.set_nodelay(true);
         let (sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
--- a/crates/entry/src/forward/context.rs
+++ b/crates/entry/src/forward/context.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use chestnutloft_core::routing::EscalationSettings;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use super::codec::EntryCodec;
 use super::connections::ConnectionPool;
@@ -30,6 +30,10 @@
     pub shutting_down: watch::Receiver<bool>,
     /// Set during shutdown, once new calls are refused.
     pub refusing_calls: watch::Receiver<bool>,
+    /// Notified when there are observations of prompt segments to report.
+    pub segment_news: Notify,
+    /// Changes when the set of blocked prompt segments does.
+    pub segment_blocks: watch::Sender<()>,
     /// Set once the entry has a declaration with routes to serve.
     pub has_routes: watch::Sender<bool>,
     state: Mutex<EntryState>,
@@ -53,6 +57,8 @@
             load_exchange: LoadExchange::default(),
             shutting_down,
             refusing_calls,
+            segment_news: Notify::new(),
+            segment_blocks: watch::Sender::new(()),
             has_routes: watch::Sender::new(false),
             state: Mutex::new(state),
         }
--- a/crates/entry/src/forward/mod.rs
+++ b/crates/entry/src/forward/mod.rs
@@ -19,6 +19,7 @@
 mod outcomes;
 mod pipeline;
 mod relay;
+pub mod segments;
 mod server;
 pub mod settings;
 pub mod state;
--- a/crates/entry/src/forward/pipeline.rs
+++ b/crates/entry/src/forward/pipeline.rs
@@ -23,6 +23,7 @@
 use super::context::ForwardContext;
 use super::inbound::{InboundCall, receive_call};
 use super::relay::StreamRelay;
+use super::segments::{SegmentAdmission, TrialGuard, report_end, wait_until_blocked};
 
 /// Time that must be left until the deadline to start an attempt.
 pub(super) const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(15);
@@ -44,6 +45,8 @@
 /// Largest response body that is not relayed as a stream. A failing endpoint may send bytes without
 /// end, which would take up the entry's memory.
 const MAX_BUFFERED_BYTES: usize = 8 * 1024 * 1024;
+/// Number of times that a call with a shared prompt is sent again after it was lost with its endpoint.
+const MAX_LOST_RETRIES: u32 = 1;
 /// Number by which the attempts that did not run may exceed the route's limit of attempts.
 const EXTRA_REJECTED_ATTEMPTS: u32 = 2;
 /// Number of endpoints that refused the connection after which a call is given up. When part of a
@@ -57,7 +60,7 @@
 ) -> Response<AnyBody> {
     let (parts, body) = request.into_parts();
     match receive_call(&context, parts, body).await {
-        Ok(call) => CallExecution::new(context, call).run().await,
+        Ok(call) => run_admitted(context, call).await,
         Err((refusal, id)) => {
             let logged_id = id.as_deref().unwrap_or("without id");
             spdlog::info!("call {logged_id}: refused: {refusal}.");
@@ -67,6 +70,27 @@
     }
 }
 
+/// Runs a call unless a segment of its prompt is blocked, also while it waits for an answer.
+async fn run_admitted(context: Arc<ForwardContext>, call: InboundCall) -> Response<AnyBody> {
+    let segments = call.shared_segments();
+    let id = call.head.id.clone();
+    let admission = context.state().admit_segments(&segments);
+    let _trial = (admission == SegmentAdmission::Trial)
+        .then(|| TrialGuard::new(Arc::clone(&context), segments.clone()));
+    if admission != SegmentAdmission::Blocked {
+        let blocked = wait_until_blocked(Arc::clone(&context), segments);
+        let running = CallExecution::new(Arc::clone(&context), call).run();
+        tokio::select! {
+            response = running => return response,
+            () = blocked => {}
+        }
+    }
+    let refusal = CallRefusal::PromptBlocked;
+    spdlog::info!("call {id}: refused: {refusal}.");
+    context.metrics.record_refusal(None, &refusal);
+    (context.codec.write_refusal)(&refusal, Some(&id))
+}
+
 /// A call in progress.
 pub struct CallExecution {
     /// State shared by all stages of the request path.
@@ -81,6 +105,8 @@
     pub(super) rejected_attempts: u32,
     /// Attempts that did not reach an endpoint.
     pub(super) unreachable_attempts: u32,
+    /// Attempts that were lost with the endpoint before the answer went on.
+    lost_attempts: u32,
     /// Whether the last attempt did not reach an endpoint.
     is_last_unsent: bool,
     /// Whether an endpoint may have run the call without a valid response.
@@ -121,6 +147,7 @@
             attempts: 0,
             rejected_attempts: 0,
             unreachable_attempts: 0,
+            lost_attempts: 0,
             is_last_unsent: false,
             may_have_run: false,
             model_index: 0,
@@ -291,7 +318,10 @@
                 self.context.state().record_unreachable(now, &endpoint.id);
             }
             AttemptFailure::NotRun { .. } => {}
-            AttemptFailure::Broken(_) => self.record_failure(now, endpoint),
+            AttemptFailure::Broken(_) => {
+                self.record_lost(endpoint);
+                self.record_failure(now, endpoint);
+            }
             AttemptFailure::TimedOut(timeout) => {
                 self.context.state().record_timeout(now, endpoint, *timeout);
                 self.record_failure(now, endpoint);
@@ -299,6 +329,21 @@
         }
     }
 
+    /// Records that the call was lost at `endpoint` before its answer went on.
+    pub fn record_lost(&mut self, endpoint: &ChosenEndpoint) {
+        self.lost_attempts += 1;
+        report_end(&self.context, endpoint);
+    }
+
+    /// Whether the call may be sent again after it was lost: what it contains may be the cause.
+    fn may_retry_lost(&self) -> bool {
+        let segments = self.call.shared_segments();
+        self.lost_attempts == 0
+            || segments.is_empty()
+            || self.lost_attempts <= MAX_LOST_RETRIES
+                && self.context.state().segments.may_retry_lost(&segments)
+    }
+
     /// Records that an endpoint failed a call that it had received.
     pub fn record_failure(&self, now: TimePoint, endpoint: &ChosenEndpoint) {
         let mut state = self.context.state();
@@ -327,6 +372,13 @@
         state.record_arm(&self.call.service.name, version, &arm, took);
     }
 
+    /// Records that an answer went on, which began at `began_at`.
+    pub fn record_progress(&self, began_at: TimePoint) {
+        let segments = self.call.shared_segments();
+        let mut state = self.context.state();
+        state.segments.record_progress(began_at, &segments);
+    }
+
     /// Route and model: the outcomes of versions are compared separately for each such pair.
     fn arm(&self) -> String {
         let model = self.model();
@@ -413,6 +465,7 @@
         let now = clock::now();
         let is_safe = !self.may_have_run || self.call.route.kind.is_repeatable();
         is_safe
+            && self.may_retry_lost()
             && self.has_attempts_left()
             && self.call.time_left(now) > MIN_ATTEMPT_TIME
             && (self.is_last_unsent
@@ -515,6 +568,7 @@
         if is_server_error {
             self.record_failure(now, &endpoint);
         } else {
+            self.record_progress(response.guard.started_at);
             self.record_success(now, &response);
         }
         self.log_response(now, &response, body.len());
--- a/crates/entry/src/forward/relay.rs
+++ b/crates/entry/src/forward/relay.rs
@@ -18,6 +18,7 @@
 use super::attempt::{AttemptFailure, EndpointResponse};
 use super::choice::ChosenEndpoint;
 use super::pipeline::CallExecution;
+use super::segments::PROGRESS_EVENTS;
 
 /// Multiple of the route's target gap between events after which a stream is resumed elsewhere. A
 /// busy endpoint may exceed the target, and another endpoint has to process the whole prompt first,
@@ -41,6 +42,7 @@
     /// Number of events relayed.
     event_count: u64,
     gap_sample_start: GapSampleStart,
+    progress: AnswerProgress,
     /// Whether the current endpoint may take until the deadline, since no other one can resume the
     /// stream.
     waits_until_deadline: bool,
@@ -54,6 +56,16 @@
     event_count: u64,
 }
 
+/// How far the current endpoint's answer has got.
+#[derive(Clone, Copy, Debug, Default)]
+struct AnswerProgress {
+    /// When its first event arrived.
+    began_at: Option<TimePoint>,
+    /// Events of the stream that earlier endpoints sent.
+    earlier_events: u64,
+    is_recorded: bool,
+}
+
 /// Result of reading from a stream.
 enum StreamRead {
     /// Complete events.
@@ -83,6 +95,7 @@
             first_events: None,
             event_count: 0,
             gap_sample_start: GapSampleStart::default(),
+            progress: AnswerProgress::default(),
             waits_until_deadline: false,
             is_finished: false,
         };
@@ -191,6 +204,7 @@
             let events = self.take_events();
             if !events.is_empty() {
                 self.record_event_gap();
+                self.record_progress();
                 return StreamRead::Events(events);
             }
             let Some(response) = &mut self.response else {
@@ -228,6 +242,7 @@
         if let Some(response) = self.response.take() {
             let now = clock::now();
             let execution = &self.execution;
+            execution.record_progress(self.progress.began_at.unwrap_or(now));
             execution
                 .context
                 .metrics
@@ -271,6 +286,23 @@
         }
     }
 
+    /// Whether the current endpoint's answer has gone on after its beginning.
+    fn has_progress(&self) -> bool {
+        self.event_count - self.progress.earlier_events >= PROGRESS_EVENTS
+    }
+
+    /// Records once for each endpoint that its answer went on.
+    fn record_progress(&mut self) {
+        let began_at = *self.progress.began_at.get_or_insert_with(clock::now);
+        if self.has_progress() && !self.progress.is_recorded {
+            self.progress.is_recorded = true;
+            if let Some(response) = &mut self.response {
+                response.guard.mark_harmless();
+            }
+            self.execution.record_progress(began_at);
+        }
+    }
+
     /// Takes all complete events received so far, except those that the caller already has.
     fn take_events(&mut self) -> Bytes {
         let mut events = BytesMut::new();
@@ -297,8 +329,13 @@
                 response.guard.endpoint.id,
                 self.event_count
             );
-            self.execution
-                .record_failure(clock::now(), &response.guard.endpoint);
+            let endpoint = response.guard.endpoint.clone();
+            drop(response);
+            let is_broken = matches!(failure, AttemptFailure::Broken(_));
+            if is_broken && !self.has_progress() {
+                self.execution.record_lost(&endpoint);
+            }
+            self.execution.record_failure(clock::now(), &endpoint);
         }
         self.splitter = EventSplitter::default();
     }
@@ -337,6 +374,10 @@
                     let execution = &self.execution;
                     execution.context.metrics.record_resume(&execution.call);
                     self.response = Some(response);
+                    self.progress = AnswerProgress {
+                        earlier_events: self.event_count,
+                        ..AnswerProgress::default()
+                    };
                     return Ok(());
                 }
                 Ok(response) => {
--- /dev/null
+++ b/crates/entry/src/forward/segments.rs
@@ -0,0 +1,378 @@
+//! Prompt segments that make endpoints fail: what this entry observes and reports, and which calls it
+//! refuses. The keepers decide from the reports of all entries.
+
+use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use chestnutloft_core::hash::{key_hash, rendezvous_owner};
+use chestnutloft_core::routing::{
+    EndedEndpoint, EndpointEnd, EndpointPhase, LostCall, SegmentBlock, SegmentProgress,
+    SegmentStage, SegmentSuspicions,
+};
+use chestnutloft_core::time::TimePoint;
+use chestnutloft_wire::clock;
+use chestnutloft_wire::message::suspicions_hash;
+
+use super::choice::ChosenEndpoint;
+use super::connections::{ConnectionError, EndpointConnection};
+use super::context::ForwardContext;
+use super::inbound::InboundCall;
+use super::state::EntryState;
+
+/// Number of events from one endpoint after which an answer has gone on.
+pub const PROGRESS_EVENTS: u64 = 3;
+/// Number of ends that an entry remembers, to report them to a new leader.
+const MAX_ENDS: usize = 64;
+/// Number of abandoned attempts that an entry remembers.
+const MAX_ABANDONED: usize = 512;
+/// Time before the end of an endpoint within which an attempt was abandoned that may have caused it.
+const ABANDONED_WINDOW: Duration = Duration::from_secs(1);
+/// Number of segments whose progress an entry remembers.
+const MAX_PROGRESS: usize = 8_192;
+/// Number of suspicious ends from which a lost call with the segment is not sent again.
+const MAX_ENDS_FOR_RETRY: u32 = 2;
+
+/// Whether a call may be sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SegmentAdmission {
+    /// No segment of the call is blocked.
+    Admitted,
+    /// The call is the only one with its blocked segments that is sent.
+    Trial,
+    /// A segment of the call is blocked.
+    Blocked,
+}
+
+#[derive(Clone, Debug)]
+struct ObservedEnd {
+    end: EndpointEnd,
+    at: TimePoint,
+    report: ReportState,
+}
+
+/// An attempt that ended before its answer went on.
+#[derive(Clone, Debug)]
+struct AbandonedAttempt {
+    endpoint: Arc<str>,
+    at: TimePoint,
+    call: LostCall,
+}
+
+/// Whether the leading keeper knows of an end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ReportState {
+    Due,
+    Sent,
+    Received,
+}
+
+/// Knowledge of prompt segments at one entry.
+#[derive(Clone, Debug, Default)]
+pub struct SegmentKnowledge {
+    blocked: HashMap<u64, SegmentBlock>,
+    /// Separate ends that count against each suspected segment, from the leading keeper.
+    suspicions: HashMap<u64, u32>,
+    suspicions_hash: Option<u64>,
+    ends: VecDeque<ObservedEnd>,
+    abandoned: VecDeque<AbandonedAttempt>,
+    /// When the latest answer that went on began, by segment.
+    progress: HashMap<u64, TimePoint>,
+    /// Blocked segments of calls on trial.
+    trials: BTreeSet<u64>,
+}
+
+impl SegmentKnowledge {
+    /// Replaces the blocked segments. Progress from before a block says nothing about it.
+    pub fn set_blocked(&mut self, blocks: Vec<SegmentBlock>) {
+        for block in &blocks {
+            if !self.blocked.contains_key(&block.segment) {
+                self.progress.remove(&block.segment);
+            }
+        }
+        self.blocked = blocks
+            .into_iter()
+            .map(|block| (block.segment, block))
+            .collect();
+    }
+
+    /// Replaces the suspected segments.
+    pub fn set_suspicions(&mut self, suspicions: &SegmentSuspicions) {
+        self.suspicions_hash = Some(suspicions_hash(suspicions));
+        let items = suspicions.segments.iter();
+        self.suspicions = items.map(|item| (item.segment, item.ends)).collect();
+    }
+
+    /// Hash of the suspected segments.
+    pub fn suspicions_hash(&self) -> u64 {
+        self.suspicions_hash
+            .unwrap_or_else(|| suspicions_hash(&SegmentSuspicions::default()))
+    }
+
+    /// Whether a call with `segments` may be sent. A call on trial counts as in progress until
+    /// [`Self::finish_trial`].
+    pub fn admit(
+        &mut self,
+        segments: &[u64],
+        own: &Arc<str>,
+        entries: &[Arc<str>],
+    ) -> SegmentAdmission {
+        let blocks: Vec<SegmentBlock> = segments
+            .iter()
+            .filter_map(|segment| self.blocked.get(segment).copied())
+            .collect();
+        if blocks.is_empty() {
+            return SegmentAdmission::Admitted;
+        }
+        let may_try = |block: &SegmentBlock| {
+            is_trial_owner(block, own, entries) && !self.trials.contains(&block.segment)
+        };
+        if !blocks.iter().all(may_try) {
+            return SegmentAdmission::Blocked;
+        }
+        self.trials.extend(blocks.iter().map(|block| block.segment));
+        SegmentAdmission::Trial
+    }
+
+    /// Ends the trial of a call with `segments`.
+    pub fn finish_trial(&mut self, segments: &[u64]) {
+        for segment in segments {
+            self.trials.remove(segment);
+        }
+    }
+
+    /// Whether a segment is blocked, and not on trial.
+    pub fn is_blocked(&self, segments: &[u64]) -> bool {
+        let mut blocks = segments
+            .iter()
+            .filter_map(|segment| self.blocked.get(segment));
+        blocks.any(|block| block.stage == SegmentStage::Blocked)
+    }
+
+    /// Whether a call with `segments` that was lost with its endpoint may be sent again.
+    pub fn may_retry_lost(&self, segments: &[u64]) -> bool {
+        let is_suspect = |segment: &u64| {
+            let ends = self.suspicions.get(segment);
+            ends.is_some_and(|ends| *ends >= MAX_ENDS_FOR_RETRY)
+        };
+        !segments.iter().any(is_suspect)
+    }
+
+    /// Records an attempt that ended before its answer went on.
+    pub fn record_abandoned(&mut self, now: TimePoint, endpoint: &Arc<str>, call: LostCall) {
+        self.abandoned.push_back(AbandonedAttempt {
+            endpoint: Arc::clone(endpoint),
+            at: now,
+            call,
+        });
+        if self.abandoned.len() > MAX_ABANDONED {
+            self.abandoned.pop_front();
+        }
+    }
+
+    /// Records that an endpoint has ended at `at`, with the attempts that were abandoned there
+    /// shortly before. Returns whether there were any.
+    pub fn record_end(&mut self, at: TimePoint, mut end: EndpointEnd) -> bool {
+        let is_involved = |attempt: &AbandonedAttempt| {
+            attempt.endpoint == end.endpoint && at.since(attempt.at) < ABANDONED_WINDOW
+        };
+        let (involved, others): (VecDeque<_>, VecDeque<_>) =
+            self.abandoned.drain(..).partition(is_involved);
+        self.abandoned = others;
+        end.calls = involved.into_iter().map(|attempt| attempt.call).collect();
+        let has_calls = !end.calls.is_empty();
+        if has_calls {
+            self.merge_end(at, end);
+        }
+        has_calls
+    }
+
+    fn merge_end(&mut self, at: TimePoint, end: EndpointEnd) {
+        let is_same = |known: &&mut ObservedEnd| {
+            known.end.endpoint == end.endpoint && known.end.born_ms == end.born_ms
+        };
+        if let Some(known) = self.ends.iter_mut().find(is_same) {
+            known.end.calls.extend(end.calls);
+            known.report = ReportState::Due;
+            return;
+        }
+        self.ends.push_back(ObservedEnd {
+            end,
+            at,
+            report: ReportState::Due,
+        });
+        if self.ends.len() > MAX_ENDS {
+            self.ends.pop_front();
+        }
+    }
+
+    /// Records that an answer to a call with `segments` went on, which began at `began_at`.
+    pub fn record_progress(&mut self, began_at: TimePoint, segments: &[u64]) {
+        for segment in segments {
+            let latest = self.progress.entry(*segment).or_insert(began_at);
+            *latest = began_at.max(*latest);
+        }
+        if self.progress.len() > MAX_PROGRESS {
+            let mut times: Vec<TimePoint> = self.progress.values().copied().collect();
+            let middle = times.len() / 2;
+            let (_, median, _) = times.select_nth_unstable(middle);
+            let median = *median;
+            self.progress.retain(|_, at| *at > median);
+        }
+    }
+
+    /// Ends that are due to be reported, for the next poll.
+    pub fn take_due_ends(&mut self, now: TimePoint) -> Vec<EndpointEnd> {
+        let due = self
+            .ends
+            .iter_mut()
+            .filter(|observed| observed.report == ReportState::Due);
+        let take = |observed: &mut ObservedEnd| {
+            observed.report = ReportState::Sent;
+            EndpointEnd {
+                age_ms: age_ms(now, observed.at),
+                ..observed.end.clone()
+            }
+        };
+        due.map(take).collect()
+    }
+
+    /// Records that the poll with the latest reports was answered.
+    pub fn confirm_ends(&mut self) {
+        self.replace_report_state(ReportState::Sent, ReportState::Received);
+    }
+
+    /// Has the ends of a poll that was given up reported once more.
+    pub fn resend_sent_ends(&mut self) {
+        self.replace_report_state(ReportState::Sent, ReportState::Due);
+    }
+
+    /// Has all remembered ends reported once more, to a leader that may not know them.
+    pub fn resend_all_ends(&mut self) {
+        self.resend_sent_ends();
+        self.replace_report_state(ReportState::Received, ReportState::Due);
+    }
+
+    fn replace_report_state(&mut self, from: ReportState, to: ReportState) {
+        for observed in self.ends.iter_mut().filter(|end| end.report == from) {
+            observed.report = to;
+        }
+    }
+
+    /// Progress with suspected and blocked segments.
+    pub fn relevant_progress(&self, now: TimePoint) -> Vec<SegmentProgress> {
+        let segments = self.suspicions.keys().chain(self.blocked.keys());
+        let progress = |segment: &u64| {
+            let began_at = self.progress.get(segment)?;
+            Some(SegmentProgress {
+                segment: *segment,
+                age_ms: age_ms(now, *began_at),
+            })
+        };
+        segments.filter_map(progress).collect()
+    }
+}
+
+fn age_ms(now: TimePoint, at: TimePoint) -> u64 {
+    u64::try_from(now.since(at).as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Whether the entry `own` sends the calls on trial with the segment of `block`.
+fn is_trial_owner(block: &SegmentBlock, own: &Arc<str>, entries: &[Arc<str>]) -> bool {
+    let SegmentStage::Trial { round } = block.stage else {
+        return false;
+    };
+    let key = [block.segment.to_le_bytes(), u64::from(round).to_le_bytes()].concat();
+    rendezvous_owner::<str>(&key, entries.iter().map(|entry| &**entry)) == Some(&**own)
+}
+
+impl EntryState {
+    /// Describes the end of an endpoint; `None` if the endpoint was leaving.
+    fn describe_end(&self, id: &str) -> Option<EndpointEnd> {
+        let endpoint = self.endpoints.get(id)?;
+        let notice = &endpoint.notice;
+        (notice.phase == EndpointPhase::Ready).then(|| EndpointEnd {
+            endpoint: Arc::clone(&notice.id),
+            born_ms: notice.born_ms,
+            service: Arc::clone(&notice.service),
+            domain: Arc::clone(&notice.domain),
+            age_ms: 0,
+            calls: Vec::new(),
+        })
+    }
+
+    /// Records endpoints that ended, as the leading keeper knows from other entries. Returns whether
+    /// an attempt of this entry may be the cause.
+    pub fn record_known_ends(&mut self, now: TimePoint, ended: &[EndedEndpoint]) -> bool {
+        let mut has_news = false;
+        for ended in ended {
+            if let Some(end) = self.describe_end(&ended.endpoint) {
+                let at = now - Duration::from_millis(ended.age_ms);
+                has_news |= self.segments.record_end(at, end);
+            }
+        }
+        has_news
+    }
+}
+
+/// The call as part of the end of an endpoint; `None` if it shares no prompt segment.
+pub fn lost_call(call: &InboundCall) -> Option<LostCall> {
+    let segments = call.shared_segments();
+    (!segments.is_empty()).then(|| LostCall {
+        call: key_hash(call.head.id.as_bytes()),
+        segments,
+    })
+}
+
+/// Reports the calls that were lost at `endpoint` before their answers went on, if the endpoint has
+/// ended: its address then refuses connections.
+pub fn report_end(context: &Arc<ForwardContext>, endpoint: &ChosenEndpoint) {
+    let lost_at = clock::now();
+    let Some(end) = context.state().describe_end(&endpoint.id) else {
+        return;
+    };
+    let context = Arc::clone(context);
+    let address = Arc::clone(&endpoint.address);
+    tokio::spawn(async move {
+        match EndpointConnection::open(&address).await {
+            Ok(connection) => context.connections.put(clock::now(), &address, connection),
+            Err(ConnectionError::Refused(_)) => {
+                context.state().segments.record_end(lost_at, end);
+                context.segment_news.notify_one();
+            }
+            Err(error) => spdlog::debug!(
+                "segments: cannot tell whether endpoint {} has ended: {error:?}.",
+                end.endpoint
+            ),
+        }
+    });
+}
+
+/// Completes when a segment in `segments` is blocked.
+pub async fn wait_until_blocked(context: Arc<ForwardContext>, segments: Vec<u64>) {
+    let mut changes = context.segment_blocks.subscribe();
+    while !context.state().segments.is_blocked(&segments) {
+        if changes.changed().await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
+}
+
+/// Counts a call as on trial until dropped.
+pub struct TrialGuard {
+    context: Arc<ForwardContext>,
+    segments: Vec<u64>,
+}
+
+impl TrialGuard {
+    /// Starts the trial of a call with `segments`.
+    pub fn new(context: Arc<ForwardContext>, segments: Vec<u64>) -> Self {
+        Self { context, segments }
+    }
+}
+
+impl Drop for TrialGuard {
+    fn drop(&mut self) {
+        self.context.state().segments.finish_trial(&self.segments);
+    }
+}
--- a/crates/entry/src/forward/state.rs
+++ b/crates/entry/src/forward/state.rs
@@ -13,6 +13,7 @@
 };
 use chestnutloft_core::time::TimePoint;
 
+use super::segments::{SegmentAdmission, SegmentKnowledge};
 use super::settings::{ForwardSettings, SharedLimits};
 
 /// Share of the key withdrawal time for which an entry accepts keys without a new confirmation by
@@ -96,6 +97,8 @@
     pub(super) arms: HashMap<ArmKey, ArmCount>,
     /// Whether `arms` has changed since it was last reported.
     pub(super) has_new_arm_counts: bool,
+    /// Prompt segments that make endpoints fail.
+    pub segments: SegmentKnowledge,
 }
 
 impl EntryState {
@@ -134,6 +137,7 @@
             retry_budget: ServiceRetryBudget::new(retry_settings),
             arms: HashMap::new(),
             has_new_arm_counts: false,
+            segments: SegmentKnowledge::default(),
         }
     }
 
@@ -198,6 +202,10 @@
         if let Some(rollouts) = update.rollouts {
             self.apply_rollouts(now, rollouts);
         }
+        if let Some(blocks) = update.blocked_segments {
+            spdlog::info!("segments: blocked prompt segments are now {blocks:x?}.");
+            self.segments.set_blocked(blocks);
+        }
         self.confirmed_at = self.confirmed_at.max(Some(requested_at));
     }
 
@@ -280,6 +288,11 @@
         }
     }
 
+    /// Whether a call with `segments` may be sent; see [`SegmentKnowledge::admit`].
+    pub fn admit_segments(&mut self, segments: &[u64]) -> SegmentAdmission {
+        self.segments.admit(segments, &self.name, &self.entries)
+    }
+
     /// Number of known endpoints that have not deregistered.
     pub fn endpoint_count(&self) -> usize {
         let endpoints = self.endpoints.values();
--- a/crates/entry/src/forward/watch.rs
+++ b/crates/entry/src/forward/watch.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use chestnutloft_core::routing::{RoutingUpdate, SessionHash};
+use chestnutloft_core::routing::{RoutingUpdate, SegmentSuspicions, SessionHash};
 use chestnutloft_core::time::TimePoint;
 use chestnutloft_wire::clock;
 use chestnutloft_wire::message::{PeerLists, WatchCall, WatchReply, sessions_hash};
@@ -72,6 +72,7 @@
     update: Box<RoutingUpdate>,
     peers: Option<PeerLists>,
     bound_sessions: Option<Vec<SessionHash>>,
+    suspicions: Option<SegmentSuspicions>,
 }
 
 /// Polls the keepers until the process ends.
@@ -106,7 +107,16 @@
         let requested_at = clock::now();
         let call = self.watch_call(requested_at);
         let found = match self.leader.clone() {
-            Some(leader) => self.poll_leader(leader, &call).await,
+            Some(leader) => tokio::select! {
+                found = self.poll_leader(leader, &call) => found,
+                // Polls again at once, with the news.
+                () = self.context.segment_news.notified() => {
+                    let mut state = self.context.state();
+                    state.resend_arm_counts();
+                    state.segments.resend_sent_ends();
+                    return;
+                }
+            },
             None => search_leader(&self.keepers(), |address| self.poll(address, &call)).await,
         };
         let now = clock::now();
@@ -120,6 +130,7 @@
                 self.lost_leader = self.leader.take().or(self.lost_leader.take());
                 self.context.load_exchange.leader.send_replace(None);
                 self.context.state().resend_arm_counts();
+                self.context.state().segments.resend_all_ends();
                 self.log_connectivity(now, false, &problem);
                 tokio::time::sleep(RETRY_DELAY).await;
             }
@@ -137,10 +148,12 @@
                 update,
                 peers,
                 bound_sessions,
+                suspicions,
             }) => KeeperAnswer::Leader(CurrentReply {
                 update,
                 peers,
                 bound_sessions,
+                suspicions,
             }),
             Ok(WatchReply::NotLeader(hint)) => KeeperAnswer::Follower(hint),
             Err(error) => KeeperAnswer::Failed(error.to_string()),
@@ -177,6 +190,15 @@
             self.bound_hash = sessions_hash(&hashes);
             self.context.state().bind_sessions(&hashes);
         }
+        let mut state = self.context.state();
+        state.segments.confirm_ends();
+        if let Some(suspicions) = reply.suspicions {
+            state.segments.set_suspicions(&suspicions);
+            if state.record_known_ends(now, &suspicions.ended) {
+                self.context.segment_news.notify_one();
+            }
+        }
+        drop(state);
         self.apply_update(now, requested_at, *reply.update, reply.peers);
     }
 
@@ -190,6 +212,9 @@
             rollouts: state.rollout_ages(now),
             bound_sessions: state.bound_sessions(now),
             bound_hash: self.bound_hash,
+            ends: state.segments.take_due_ends(now),
+            progress: state.segments.relevant_progress(now),
+            suspicions_hash: state.segments.suspicions_hash(),
         }
     }
 
@@ -200,8 +225,12 @@
         update: RoutingUpdate,
         peers: Option<PeerLists>,
     ) {
+        let has_new_blocks = update.blocked_segments.is_some();
         let mut state = self.context.state();
         state.apply(now, requested_at, update);
+        if has_new_blocks {
+            self.context.segment_blocks.send_replace(());
+        }
         if state.is_ready(now) {
             self.context
                 .has_routes
--- a/crates/keeper/src/routing_coordinator.rs
+++ b/crates/keeper/src/routing_coordinator.rs
@@ -10,12 +10,15 @@
 use tokio::sync::oneshot;
 
 use chestnutloft_core::routing::{
-    ArmCount, ArmKey, CanaryAnalysis, CanaryThresholds, DirectoryChange, EndpointNotice,
-    EndpointPhase, NoticeOutcome, PoolEndpoint, RolloutStage, RolloutTiming, RoutingCommand,
-    RoutingState, SessionHash, VersionVerdict,
+    ArmCount, ArmKey, CanaryAnalysis, CanaryThresholds, DirectoryChange, EndpointEnd,
+    EndpointNotice, EndpointPhase, NoticeOutcome, PoolEndpoint, RolloutStage, RolloutTiming,
+    RoutingCommand, RoutingState, SegmentFaultDetector, SegmentFaultSettings, SessionHash,
+    VersionVerdict,
 };
 use chestnutloft_core::time::TimePoint;
-use chestnutloft_wire::message::{PeerLists, WatchCall, WatchReply, sessions_hash};
+use chestnutloft_wire::message::{
+    PeerLists, WatchCall, WatchReply, sessions_hash, suspicions_hash,
+};
 
 /// Timeouts of watches, entries and endpoints.
 #[serde_as]
@@ -43,6 +46,8 @@
     }
 }
 
+/// Shortest time between two answers to an entry for new suspicions alone.
+const SUSPICION_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval at which the progress of a roll-out is replicated.
 const PROGRESS_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -85,6 +90,7 @@
     rollout_clocks: HashMap<(Arc<str>, Arc<str>), RolloutClock>,
     keepers: Vec<String>,
     leader_since: TimePoint,
+    segment_faults: SegmentFaultDetector,
 }
 
 impl RoutingCoordinator {
@@ -99,6 +105,7 @@
             rollout_clocks: HashMap::new(),
             keepers: Vec::new(),
             leader_since: TimePoint::ZERO,
+            segment_faults: SegmentFaultDetector::new(SegmentFaultSettings::default()),
         }
     }
 
@@ -107,6 +114,7 @@
         self.leader_since = now;
         self.liveness.clear();
         self.entry_reports.clear();
+        self.segment_faults = SegmentFaultDetector::new(SegmentFaultSettings::default());
     }
 
     /// Updates the clocks of running roll-outs from the replicated state. Every replica does this,
@@ -205,6 +213,19 @@
         if let Some(arms) = call.arms.take() {
             report.arms = arms;
         }
+        for end in std::mem::take(&mut call.ends) {
+            spdlog::info!(
+                "segments: entry {} lost {} calls with endpoint {} before their answers went on: {:x?}.",
+                call.entry,
+                end.calls.len(),
+                end.endpoint,
+                end.calls
+            );
+            self.segment_faults.record_end(now, end);
+        }
+        for progress in std::mem::take(&mut call.progress) {
+            self.segment_faults.record_progress(now, progress);
+        }
         self.watches.push(PendingWatch {
             call,
             since: now,
@@ -221,10 +242,17 @@
         let peers_hash = peers.hash();
         let bound_sessions = self.bound_sessions();
         let bound_hash = sessions_hash(&bound_sessions);
+        let suspicions = self.segment_faults.suspicions(now);
+        let current_suspicions_hash = suspicions_hash(&suspicions);
         for watch in std::mem::take(&mut self.watches) {
             let has_changes =
                 watch.call.known.index < state.changed_at || watch.call.peers_hash != peers_hash;
-            if !has_changes && now.since(watch.since) < self.settings.watch_wait {
+            let wait = if watch.call.suspicions_hash == current_suspicions_hash {
+                self.settings.watch_wait
+            } else {
+                SUSPICION_INTERVAL
+            };
+            if !has_changes && now.since(watch.since) < wait {
                 self.watches.push(watch);
                 continue;
             }
@@ -237,6 +265,8 @@
                 peers: (!has_current_peers).then(|| peers.clone()),
                 bound_sessions: (watch.call.bound_hash != bound_hash)
                     .then(|| bound_sessions.clone()),
+                suspicions: (watch.call.suspicions_hash != current_suspicions_hash)
+                    .then(|| suspicions.clone()),
             };
             // Fails if the call of the entry has timed out; the entry then calls again.
             let _ = watch.reply.send(reply);
@@ -283,9 +313,31 @@
             .retain(|_, report| now.since(report.received_at) < timeout);
         let mut commands = self.due_rollout_moves(now, state);
         commands.extend(self.expired_endpoints(now, state));
+        commands.extend(self.due_segment_changes(now, state));
         commands
     }
 
+    fn due_segment_changes(&mut self, now: TimePoint, state: &RoutingState) -> Vec<RoutingCommand> {
+        let pool_size = |end: &EndpointEnd| {
+            let endpoints = state.directory.iter().filter(|endpoint| {
+                endpoint.notice.service == end.service
+                    && endpoint.notice.domain == end.domain
+                    && endpoint.notice.phase == EndpointPhase::Ready
+            });
+            endpoints.count()
+        };
+        let changes = self
+            .segment_faults
+            .due_changes(now, &state.blocked_segments, pool_size);
+        for change in &changes {
+            spdlog::warn!("segments: {change:x?}.");
+        }
+        changes
+            .into_iter()
+            .map(RoutingCommand::ChangeSegment)
+            .collect()
+    }
+
     fn expired_endpoints(&self, now: TimePoint, state: &RoutingState) -> Vec<RoutingCommand> {
         let is_expired = |endpoint: &&PoolEndpoint| {
             let liveness = self.liveness.get(&endpoint.notice.id);
--- a/crates/keeper/tests/routing_coordinator.rs
+++ b/crates/keeper/tests/routing_coordinator.rs
@@ -5,11 +5,13 @@
 use tokio::sync::oneshot;
 
 use chestnutloft_core::routing::{
-    RolloutOrder, RolloutStage, RoutingCommand, RoutingRevision, RoutingState,
+    RolloutOrder, RolloutStage, RoutingCommand, RoutingRevision, RoutingState, SegmentSuspicions,
 };
 use chestnutloft_core::time::TimePoint;
 use chestnutloft_keeper::routing_coordinator::{CoordinatorSettings, RoutingCoordinator};
-use chestnutloft_wire::message::{RolloutAge, WatchCall, WatchReply, sessions_hash};
+use chestnutloft_wire::message::{
+    RolloutAge, WatchCall, WatchReply, sessions_hash, suspicions_hash,
+};
 
 const DURATION_MS: u64 = 24_000;
 
@@ -52,6 +54,9 @@
         }],
         bound_sessions,
         bound_hash: sessions_hash(&[]),
+        ends: Vec::new(),
+        progress: Vec::new(),
+        suspicions_hash: suspicions_hash(&SegmentSuspicions::default()),
     }
 }
 
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -8,7 +8,8 @@
 use chestnutloft_core::consensus::{PeerMessage, ReplicaId};
 use chestnutloft_core::ids::{EndpointId, EntryId};
 use chestnutloft_core::routing::{
-    ArmCount, ArmKey, LoadSummary, RoutingRevision, RoutingUpdate, SessionHash,
+    ArmCount, ArmKey, EndpointEnd, LoadSummary, RoutingRevision, RoutingUpdate, SegmentProgress,
+    SegmentSuspicions, SessionHash,
 };
 use chestnutloft_core::state::{
     CreditGrant, CreditReport, EndpointRecord, EntryHeartbeat, KeeperCommand, KeeperOutcome,
@@ -126,6 +127,20 @@
     pub bound_sessions: Vec<SessionHash>,
     /// Hash of the sessions of all entries that the entry has; see [`sessions_hash`].
     pub bound_hash: u64,
+    /// Endpoints that ended since the last poll.
+    pub ends: Vec<EndpointEnd>,
+    /// Latest progress with suspected and blocked prompt segments.
+    pub progress: Vec<SegmentProgress>,
+    /// Hash of the suspected prompt segments that the entry has; see [`suspicions_hash`].
+    pub suspicions_hash: u64,
+}
+
+/// Hash by which two values are compared. The age of an end does not count.
+pub fn suspicions_hash(suspicions: &SegmentSuspicions) -> u64 {
+    let ended = suspicions.ended.iter().map(|ended| &ended.endpoint);
+    let content = (&suspicions.segments, ended.collect::<Vec<_>>());
+    let bytes = postcard::to_stdvec(&content).unwrap_or_default();
+    chestnutloft_core::hash::key_hash(&bytes)
 }
 
 /// How long an entry has known of a roll-out.
@@ -176,6 +191,8 @@
         peers: Option<PeerLists>,
         /// Sessions that any entry saw on the old version, if they differ from those of the entry.
         bound_sessions: Option<Vec<SessionHash>>,
+        /// Suspected prompt segments, if they differ from those of the entry.
+        suspicions: Option<SegmentSuspicions>,
     },
     /// This keeper is not the leader; RPC address of the leader, if known.
     NotLeader(Option<String>),
