Let reports of progress settle before a block is released

Cause: entries report ends and progress one after the other; until progress is known, a first segment that all calls share accounts for the ends of both blocked ones. Change: a block that another segment accounts for is released only when that has held for a second. Test: a_new_leader_keeps_blocks_while_it_waits_for_reports_of_progress failed before, passes.

--- a/crates/core/src/routing/segment_faults.rs
+++ b/crates/core/src/routing/segment_faults.rs
@@ -23,6 +23,9 @@
     pub min_weight_after_progress: usize,
     /// Time for the entries to report progress before a segment is blocked.
     pub settling: Duration,
+    /// Time for the entries to report to a new leader before a block that other segments account
+    /// for is released.
+    pub release_settling: Duration,
     /// Ends that are closer together may have one cause, other than a segment.
     pub simultaneous: Duration,
     /// Share of a failure domain's endpoints whose simultaneous end is a failure of the domain.
@@ -46,6 +49,7 @@
             min_weight: 6,
             min_weight_after_progress: 10,
             settling: Duration::from_millis(150),
+            release_settling: Duration::from_secs(1),
             simultaneous: Duration::from_millis(200),
             domain_share: 0.5,
             max_age: Duration::from_mins(5),
@@ -184,6 +188,8 @@
     suspicions: Vec<SegmentSuspicion>,
     /// Since when each segment that is not blocked accounts for enough ends.
     candidates: HashMap<u64, TimePoint>,
+    /// Since when other segments account for the ends of each blocked segment.
+    explained: HashMap<u64, TimePoint>,
     /// When the reports were last evaluated; `None` if they have changed since.
     evaluated_at: Option<TimePoint>,
 }
@@ -273,16 +279,25 @@
     ) -> Vec<SegmentChange> {
         self.track_stages(now, blocked);
         let is_recent = |at: TimePoint| now.since(at) < EVALUATION_INTERVAL;
-        if self.candidates.is_empty() && self.evaluated_at.is_some_and(is_recent) {
+        let is_settling = !self.candidates.is_empty() || !self.explained.is_empty();
+        if !is_settling && self.evaluated_at.is_some_and(is_recent) {
             return Vec::new();
         }
         self.evaluated_at = Some(now);
         let ends = self.isolated_ends(pool_size);
         let evidence = self.weigh(&ends);
         let causes = self.find_causes(&ends, blocked);
+        let is_explained = |segment: &&u64| {
+            let evidence = evidence.get(*segment);
+            !causes.contains(*segment)
+                && evidence.is_some_and(|evidence| evidence.weight >= self.min_weight(**segment))
+        };
+        let since = |segment: &u64| (*segment, *self.explained.get(segment).unwrap_or(&now));
+        let explained: HashMap<u64, TimePoint> =
+            blocked.keys().filter(is_explained).map(since).collect();
         let mut changes: Vec<SegmentChange> = blocked
             .values()
-            .filter_map(|block| self.next_stage(now, block, &ends, &evidence, &causes))
+            .filter_map(|block| self.next_stage(now, block, &ends, &explained))
             .collect();
         let free = self.settings.max_blocks.saturating_sub(blocked.len());
         let new = causes
@@ -301,6 +316,7 @@
             })
         }));
         self.candidates = candidates;
+        self.explained = explained;
         self.suspicions = evidence
             .into_iter()
             .map(|(segment, evidence)| SegmentSuspicion {
@@ -328,8 +344,7 @@
         now: TimePoint,
         block: &SegmentBlock,
         ends: &[&RecordedEnd],
-        evidence: &BTreeMap<u64, SegmentEvidence>,
-        causes: &[u64],
+        explained: &HashMap<u64, TimePoint>,
     ) -> Option<SegmentChange> {
         let segment = block.segment;
         let since = self.stages.get(&segment).map_or(now, |(_, at)| *at);
@@ -342,10 +357,9 @@
             .progress
             .get(&segment)
             .is_some_and(|at| last_end.is_none_or(|end| *at > end));
-        let is_explained = !causes.contains(&segment)
-            && evidence
-                .get(&segment)
-                .is_some_and(|evidence| evidence.weight >= self.min_weight(segment));
+        let is_explained = explained
+            .get(&segment)
+            .is_some_and(|at| now.since(*at) >= self.settings.release_settling);
         if has_progress || is_explained {
             return Some(SegmentChange::Clear { segment });
         }
