Read and log the call rate that an endpoint names

Neither the adapter nor the product read the header, so that the logs could not tell an entry that had heard of a limit from one that had not. Nothing is decided by it yet.

--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -11,6 +11,7 @@
 mod load_aggregation;
 mod placement;
 mod queue_delay;
+mod rate_limits;
 mod rollout;
 mod segment_faults;
 mod sessions;
@@ -37,6 +38,7 @@
     select_endpoint,
 };
 pub use queue_delay::{PrefillTimeEstimator, QueueDelayEstimator, QueueDelaySettings, QueueState};
+pub use rate_limits::{LimitStatement, StatedLimits};
 pub use rollout::{RolloutOrder, RolloutStage, RolloutState, RolloutTiming};
 pub use segment_faults::{
     EndedEndpoint, EndpointEnd, LostCall, SegmentBlock, SegmentChange, SegmentFaultDetector,
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -236,6 +236,13 @@
     let head = &response.head;
     let id = &response.guard.endpoint.id;
     let now = clock::now();
+    if head.execution != ExecutionStatus::Misdirected {
+        let sent_at = response.guard.started_at;
+        let mut state = context.state();
+        if state.record_limit(now, id, sent_at, head.limit_per_s) {
+            context.load_exchange.notify_changed();
+        }
+    }
     if head.execution != ExecutionStatus::MayHaveRun {
         let is_misdirected = head.execution == ExecutionStatus::Misdirected;
         let mut state = context.state();
--- a/crates/entry/src/forward/codec.rs
+++ b/crates/entry/src/forward/codec.rs
@@ -120,6 +120,8 @@
     pub confidence: Option<f64>,
     /// Load that the endpoint reports.
     pub load: Option<ReportedLoad>,
+    /// Calls per second that the endpoint takes from all entries together, if it names a limit.
+    pub limit_per_s: Option<f64>,
     /// Whether the connection stays open.
     pub persistence: ConnectionPersistence,
 }
--- a/crates/entry/src/forward/outcomes.rs
+++ b/crates/entry/src/forward/outcomes.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use chestnutloft_core::routing::{ArmCount, ArmKey, EndpointPhase, LoadSummary, WaitingWork};
+use chestnutloft_core::routing::{
+    ArmCount, ArmKey, EndpointPhase, LoadSummary, WaitingWork, endpoint_hash,
+};
 use chestnutloft_core::time::TimePoint;
 
 use super::choice::ChosenEndpoint;
@@ -104,6 +106,23 @@
         }
     }
 
+    /// Records what an answer to a call sent at `sent_at` said about its endpoint's limit. Returns
+    /// whether the limit has changed.
+    pub fn record_limit(
+        &mut self,
+        now: TimePoint,
+        id: &str,
+        sent_at: TimePoint,
+        per_s: Option<f64>,
+    ) -> bool {
+        let endpoint = endpoint_hash(id);
+        let is_change = self.stated_limits.hear(now, endpoint, sent_at, per_s);
+        if is_change {
+            spdlog::info!("limits: endpoint {id} takes {per_s:?} calls per second of all entries.");
+        }
+        is_change
+    }
+
     /// Records that the endpoint rejected a call because it is full: its load is assumed to be 1.5
     /// times its slots.
     pub fn record_full(&mut self, now: TimePoint, id: &Arc<str>) {
--- a/crates/entry/src/forward/state.rs
+++ b/crates/entry/src/forward/state.rs
@@ -9,7 +9,7 @@
     ArmCount, ArmKey, ColdStartLimiter, EndpointNotice, EndpointPhase, EventGapReport,
     EventGapTracker, HealthSettings, IdleGap, PlacementSettings, PoolHealth, PrefillTimeEstimator,
     QueueDelayEstimator, RolloutStage, RolloutState, RouteDeclaration, RouteTable, RoutingRevision,
-    RoutingUpdate, ServiceRetryBudget, ServiceRetrySettings, SessionVersions,
+    RoutingUpdate, ServiceRetryBudget, ServiceRetrySettings, SessionVersions, StatedLimits,
 };
 use chestnutloft_core::time::TimePoint;
 
@@ -97,6 +97,8 @@
     pub(super) arms: HashMap<ArmKey, ArmCount>,
     /// Whether `arms` has changed since it was last reported.
     pub(super) has_new_arm_counts: bool,
+    /// Call rates that endpoints name for all entries together.
+    pub(super) stated_limits: StatedLimits,
     /// Prompt segments that make endpoints fail.
     pub segments: SegmentKnowledge,
 }
@@ -137,6 +139,7 @@
             retry_budget: ServiceRetryBudget::new(retry_settings),
             arms: HashMap::new(),
             has_new_arm_counts: false,
+            stated_limits: StatedLimits::default(),
             segments: SegmentKnowledge::default(),
         }
     }
