Share the call rate that an endpoint names among the entries

Cause: the header was not read, so each entry went on as before. Class of fault: a limit of the callee for all callers together that no caller applies, like the call rate of cold endpoints before its ledger. Change: one ledger of calls per endpoint for both limits; an entry's share follows from the list of entries, so that no grant has to arrive in time; statements reach entries that have not heard them with the exchange of load.

--- a/crates/core/src/routing/budgets.rs
+++ b/crates/core/src/routing/budgets.rs
@@ -114,25 +114,37 @@
     }
 }
 
-/// Window over which calls to a cold endpoint are counted.
-const COLD_WINDOW: Duration = Duration::from_secs(1);
-/// Minimum number of calls per window for an entry that sends to a cold endpoint.
-const MIN_COLD_CALLS_PER_ENTRY: f64 = 2.0;
+/// Window over which calls are counted, at rates of one or more in a window.
+const RATE_WINDOW: Duration = Duration::from_secs(1);
+/// Longest window, so that the end of a limit is noticed.
+const MAX_RATE_WINDOW: Duration = Duration::from_secs(10);
+/// Minimum number of calls per window for an entry that sends to an endpoint with a limit.
+const MIN_CALLS_PER_ENTRY: f64 = 2.0;
+
+/// Calls that one entry may send to an endpoint in a sliding window.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RateShare {
+    /// Number of calls.
+    pub calls: usize,
+    /// Length of the window.
+    pub window: Duration,
+}
 
-/// This entry's share of the call rate that cold endpoints can take.
+/// This entry's share of the call rates that endpoints can take, because they are cold or have named
+/// a limit.
 #[derive(Clone, Debug, Default)]
-pub struct ColdStartLimiter {
+pub struct EndpointRateLimiter {
     sent: HashMap<Arc<str>, VecDeque<TimePoint>>,
 }
 
-impl ColdStartLimiter {
-    /// Returns how many calls the entry `own` may send to the cold endpoint `id` per second.
+impl EndpointRateLimiter {
+    /// Returns how many calls the entry `own` may send to the endpoint `id`.
     ///
     /// `per_s` is the limit for all entries together. If it allows fewer than
-    /// `MIN_COLD_CALLS_PER_ENTRY` calls for each entry, only the entries that rank first in a
+    /// `MIN_CALLS_PER_ENTRY` calls per second for each entry, only the entries that rank first in a
     /// rendezvous hash may send, and the others get 0.
-    pub fn entry_limit(id: &str, own: &str, entries: &[Arc<str>], per_s: f64) -> usize {
-        let senders = (per_s / MIN_COLD_CALLS_PER_ENTRY).floor().max(1.0) as usize;
+    pub fn entry_share(id: &str, own: &str, entries: &[Arc<str>], per_s: f64) -> RateShare {
+        let senders = (per_s / MIN_CALLS_PER_ENTRY).floor().max(1.0) as usize;
         let own_weight = rendezvous_weight(id.as_bytes(), own.as_bytes());
         let rank = entries
             .iter()
@@ -140,26 +152,40 @@
             .filter(|entry| rendezvous_weight(id.as_bytes(), entry.as_bytes()) > own_weight)
             .count();
         let senders = senders.min(entries.len().max(1));
-        if rank >= senders {
-            return 0;
+        let calls = per_s / senders as f64;
+        let min_per_s = 1.0 / MAX_RATE_WINDOW.as_secs_f64();
+        RateShare {
+            calls: if rank < senders {
+                calls.floor().max(1.0) as usize
+            } else {
+                0
+            },
+            window: RATE_WINDOW.div_f64(calls.clamp(min_per_s, 1.0)),
         }
-        (per_s / senders as f64).floor().max(1.0) as usize
     }
 
-    /// Whether another call may be sent to the cold endpoint `id`. `limit` is this entry's
-    /// [`Self::entry_limit`].
-    pub fn has_capacity(&self, now: TimePoint, id: &str, limit: usize) -> bool {
-        let recent = |at: &&TimePoint| now.since(**at) < COLD_WINDOW;
+    /// Whether another call may be sent to the endpoint `id`. `share` is this entry's
+    /// [`Self::entry_share`].
+    pub fn has_capacity(&self, now: TimePoint, id: &str, share: RateShare) -> bool {
+        let recent = |at: &&TimePoint| now.since(**at) < share.window;
         let sent = self.sent.get(id);
-        sent.map_or(0, |sent| sent.iter().filter(recent).count()) < limit
+        sent.map_or(0, |sent| sent.iter().filter(recent).count()) < share.calls
     }
 
-    /// Records a call sent to the cold endpoint `id`.
+    /// Records a call sent to the endpoint `id`.
     pub fn record_call(&mut self, now: TimePoint, id: &Arc<str>) {
         let sent = self.sent.entry(Arc::clone(id)).or_default();
-        while sent.front().is_some_and(|at| now.since(*at) >= COLD_WINDOW) {
+        while sent
+            .front()
+            .is_some_and(|at| now.since(*at) >= MAX_RATE_WINDOW)
+        {
             sent.pop_front();
         }
         sent.push_back(now);
     }
+
+    /// Discards the calls to an endpoint that is gone.
+    pub fn forget(&mut self, id: &str) {
+        self.sent.remove(id);
+    }
 }
--- a/crates/core/src/routing/load_aggregation.rs
+++ b/crates/core/src/routing/load_aggregation.rs
@@ -14,6 +14,7 @@
 use crate::time::TimePoint;
 
 use super::event_gap::EventGapReport;
+use super::rate_limits::{LimitStatement, StatedLimits};
 
 /// Age at which a report expires. By then its entry has stopped or lost its connection, and the
 /// calls in the report have begun to answer or failed.
@@ -45,6 +46,8 @@
     /// Time between events in streams of large models.
     #[serde(rename = "pace")]
     pub event_gap: EventGapReport,
+    /// Limits that endpoints have named.
+    pub limits: Vec<LimitStatement>,
 }
 
 #[derive(Clone, Debug)]
@@ -58,11 +61,21 @@
 pub struct LoadAggregator {
     reports: HashMap<Arc<str>, EntryReport>,
     totals: HashMap<EndpointHash, u64>,
+    limits: StatedLimits,
 }
 
 impl LoadAggregator {
     /// Replaces the report of `entry` and returns the sum over all other entries.
-    pub fn exchange(&mut self, now: TimePoint, entry: &Arc<str>, load: LoadSummary) -> LoadSummary {
+    ///
+    /// Limits are not summed: the newest statement of each endpoint is kept and returned.
+    pub fn exchange(
+        &mut self,
+        now: TimePoint,
+        entry: &Arc<str>,
+        mut load: LoadSummary,
+    ) -> LoadSummary {
+        self.limits.merge(now, &std::mem::take(&mut load.limits));
+        let limits = self.limits.statements(now);
         self.drop_expired(now);
         self.drop_report(entry);
         let peer_work = self.totals.iter().map(|(endpoint, total)| WaitingWork {
@@ -80,7 +93,11 @@
             load,
         };
         self.reports.insert(Arc::clone(entry), report);
-        LoadSummary { work, event_gap }
+        LoadSummary {
+            work,
+            event_gap,
+            limits,
+        }
     }
 
     fn drop_expired(&mut self, now: TimePoint) {
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -18,7 +18,7 @@
 mod state;
 mod table;
 
-pub use budgets::{ColdStartLimiter, ServiceRetryBudget, ServiceRetrySettings};
+pub use budgets::{EndpointRateLimiter, RateShare, ServiceRetryBudget, ServiceRetrySettings};
 pub use canary::{ArmCount, ArmKey, CanaryAnalysis, CanaryThresholds, VersionVerdict};
 pub use declaration::{
     CallKind, CallerLimits, DeclarationFinding, ModelRule, RouteDeclaration, RouteRule,
--- a/crates/core/tests/routing/budgets.rs
+++ b/crates/core/tests/routing/budgets.rs
@@ -2,7 +2,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use chestnutloft_core::routing::{ColdStartLimiter, ServiceRetryBudget, ServiceRetrySettings};
+use chestnutloft_core::routing::{
+    EndpointRateLimiter, RateShare, ServiceRetryBudget, ServiceRetrySettings,
+};
 use chestnutloft_core::time::TimePoint;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
@@ -55,37 +57,39 @@
 }
 
 #[test]
-fn all_entries_together_stay_within_the_call_rate_of_a_cold_endpoint() {
+fn all_entries_together_stay_within_the_call_rate_of_an_endpoint() {
     for count in [1, 6, 9, 85, 420] {
         let names = entries(count);
-        for (endpoint, per_s) in [("a", 10.0), ("b", 16.0), ("c", 4.0)] {
-            let shares = names
-                .iter()
-                .map(|own| ColdStartLimiter::entry_limit(endpoint, own, &names, per_s));
-            let all: usize = shares.sum();
+        for (endpoint, per_s) in [("a", 10.0), ("b", 16.0), ("c", 4.0), ("d", 0.4), ("e", 1.7)] {
+            let shares = names.iter().map(|own| {
+                let share = EndpointRateLimiter::entry_share(endpoint, own, &names, per_s);
+                share.calls as f64 / share.window.as_secs_f64()
+            });
+            let all: f64 = shares.sum();
 
             assert!(
-                all as f64 <= per_s + 0.001,
-                "{count} entries send {all} of {per_s}"
-            );
-            assert!(
-                all as f64 >= per_s * 0.5,
+                all <= per_s + 0.001,
                 "{count} entries send {all} of {per_s}"
             );
+            assert!(all >= per_s * 0.5, "{count} entries send {all} of {per_s}");
         }
     }
 }
 
 #[test]
-fn an_entry_stays_within_its_limit_for_a_cold_endpoint_in_each_second() {
-    let mut cold = ColdStartLimiter::default();
+fn an_entry_stays_within_its_share_in_each_second() {
+    let mut limiter = EndpointRateLimiter::default();
     let id: Arc<str> = Arc::from("a");
+    let share = RateShare {
+        calls: 2,
+        window: Duration::from_secs(1),
+    };
     let mut sent: Vec<TimePoint> = Vec::new();
 
     for step in 0..500_u64 {
         let now = TimePoint::from_millis(5_000 + step * 10);
-        if cold.has_capacity(now, &id, 2) {
-            cold.record_call(now, &id);
+        if limiter.has_capacity(now, &id, share) {
+            limiter.record_call(now, &id);
             sent.push(now);
         }
     }
--- a/crates/core/tests/routing/main.rs
+++ b/crates/core/tests/routing/main.rs
@@ -10,6 +10,7 @@
 mod journal;
 mod load_aggregation;
 mod placement;
+mod rate_limits;
 mod rollout;
 mod segment_faults;
 mod sessions;
--- a/crates/entry/src/forward/choice.rs
+++ b/crates/entry/src/forward/choice.rs
@@ -6,9 +6,9 @@
 
 use chestnutloft_core::hash::key_hash;
 use chestnutloft_core::routing::{
-    ColdStartLimiter, EndpointCandidate, EndpointPhase, ModelLane, PlacementRequest, PoolLoad,
+    EndpointCandidate, EndpointPhase, EndpointRateLimiter, ModelLane, PlacementRequest, PoolLoad,
     QueueState, RolloutStage, RolloutState, ServiceRule, SessionHash, VersionPreference,
-    select_endpoint, session_hash,
+    endpoint_hash, select_endpoint, session_hash,
 };
 use chestnutloft_core::time::TimePoint;
 use chestnutloft_wire::message::RolloutAge;
@@ -110,8 +110,9 @@
 pub enum NoEndpoint {
     /// No endpoint accepts calls.
     NoneReady,
-    /// The remaining endpoints are cold, and the limit on new calls to each of them is reached.
-    AllCold,
+    /// The remaining endpoints take no further calls at present, because they are cold or have named
+    /// a limit.
+    AtRateLimit,
     /// This entry's share of the service's connection limit is in use.
     ConnectionsInUse,
 }
@@ -121,7 +122,7 @@
     pub fn reason(self) -> &'static str {
         match self {
             Self::NoneReady => "no endpoint takes new work",
-            Self::AllCold => "the endpoints left are cold",
+            Self::AtRateLimit => "the endpoints left take no further calls at present",
             Self::ConnectionsInUse => "all connections are in use",
         }
     }
@@ -206,10 +207,10 @@
         }
         let with_capacity: Vec<&EndpointState> = connectable
             .into_iter()
-            .filter(|endpoint| self.has_cold_capacity(now, endpoint, request.service))
+            .filter(|endpoint| self.has_rate_capacity(now, endpoint, request.service))
             .collect();
         if with_capacity.is_empty() {
-            return Err(NoEndpoint::AllCold);
+            return Err(NoEndpoint::AtRateLimit);
         }
         let preferred = self.prefer_healthy_untried(now, &with_capacity, request.tried);
         let candidates: Vec<EndpointCandidate<'_>> = preferred
@@ -292,21 +293,24 @@
         share.max(MIN_CONNECTIONS)
     }
 
-    /// Whether the endpoint is warm, or this entry's share of the rate limit for cold endpoints
-    /// allows another call.
-    fn has_cold_capacity(
+    /// Whether this entry's share of the call rate that the endpoint takes allows another call. A
+    /// cold endpoint takes the rate that its service declares, any other the limit that it names.
+    fn has_rate_capacity(
         &self,
         now: TimePoint,
         endpoint: &EndpointState,
         service: &ServiceRule,
     ) -> bool {
-        if now >= endpoint.cold_until || service.cold_per_s <= 0.0 {
-            return true;
-        }
         let id = &endpoint.notice.id;
-        let share =
-            ColdStartLimiter::entry_limit(id, &self.name, &self.entries, service.cold_per_s);
-        self.cold_start_limiter.has_capacity(now, id, share)
+        let is_cold = now < endpoint.cold_until && service.cold_per_s > 0.0;
+        let cold_per_s = is_cold.then_some(service.cold_per_s);
+        let stated_per_s = self.stated_limits.per_s(endpoint_hash(id));
+        let limits = cold_per_s.into_iter().chain(stated_per_s);
+        let Some(per_s) = limits.min_by(f64::total_cmp) else {
+            return true;
+        };
+        let share = EndpointRateLimiter::entry_share(id, &self.name, &self.entries, per_s);
+        self.rate_limiter.has_capacity(now, id, share)
     }
 
     fn is_version_allowed(&self, endpoint: &EndpointState) -> bool {
--- a/crates/entry/src/forward/outcomes.rs
+++ b/crates/entry/src/forward/outcomes.rs
@@ -50,10 +50,11 @@
     }
 
     /// Load information for the other entries.
-    pub fn load_summary(&self, now: TimePoint) -> LoadSummary {
+    pub fn load_summary(&mut self, now: TimePoint) -> LoadSummary {
         LoadSummary {
             work: self.waiting_work(),
             event_gap: self.large_model_event_gap.report(now),
+            limits: self.stated_limits.statements(now),
         }
     }
 
@@ -61,6 +62,7 @@
     pub fn apply_peer_load(&mut self, now: TimePoint, peers: &LoadSummary) {
         self.queue_delays.set_peer_work(now, &peers.work);
         self.peer_event_gap = peers.event_gap;
+        self.stated_limits.merge(now, &peers.limits);
     }
 
     /// Counts an attempt as in flight, with prefill work of `work_ms` milliseconds.
@@ -70,8 +72,9 @@
             return;
         };
         endpoint.in_flight += 1;
-        if now < endpoint.cold_until {
-            self.cold_start_limiter.record_call(now, id);
+        let is_limited = self.stated_limits.per_s(endpoint_hash(id)).is_some();
+        if now < endpoint.cold_until || is_limited {
+            self.rate_limiter.record_call(now, id);
         }
     }
 
@@ -92,6 +95,7 @@
             self.endpoints.remove(id);
             self.health.forget(id);
             self.queue_delays.forget(id);
+            self.rate_limiter.forget(id);
         }
     }
 
--- a/crates/entry/src/forward/state.rs
+++ b/crates/entry/src/forward/state.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use chestnutloft_core::routing::{
-    ArmCount, ArmKey, ColdStartLimiter, EndpointNotice, EndpointPhase, EventGapReport,
+    ArmCount, ArmKey, EndpointNotice, EndpointPhase, EndpointRateLimiter, EventGapReport,
     EventGapTracker, HealthSettings, IdleGap, PlacementSettings, PoolHealth, PrefillTimeEstimator,
     QueueDelayEstimator, RolloutStage, RolloutState, RouteDeclaration, RouteTable, RoutingRevision,
     RoutingUpdate, ServiceRetryBudget, ServiceRetrySettings, SessionVersions, StatedLimits,
@@ -91,7 +91,7 @@
     pub(super) sessions: SessionVersions,
     /// Failure rates and ejections of endpoints.
     pub health: PoolHealth,
-    pub(super) cold_start_limiter: ColdStartLimiter,
+    pub(super) rate_limiter: EndpointRateLimiter,
     pub(super) retry_budget: ServiceRetryBudget,
     /// Outcomes of attempts by service, version and route.
     pub(super) arms: HashMap<ArmKey, ArmCount>,
@@ -135,7 +135,7 @@
             confirmed_at: None,
             sessions: SessionVersions::default(),
             health: PoolHealth::new(HealthSettings::default()),
-            cold_start_limiter: ColdStartLimiter::default(),
+            rate_limiter: EndpointRateLimiter::default(),
             retry_budget: ServiceRetryBudget::new(retry_settings),
             arms: HashMap::new(),
             has_new_arm_counts: false,
@@ -222,6 +222,7 @@
                 self.endpoints.remove(&notice.id);
                 self.health.forget(&notice.id);
                 self.queue_delays.forget(&notice.id);
+                self.rate_limiter.forget(&notice.id);
             } else if let Some(known) = self.endpoints.get_mut(&notice.id) {
                 known.notice = notice;
             }
