Count blocked segments and limited endpoints; confirm an end once

Metrics gauges for both mechanisms. An end that is known is not looked for again, and only calls with shared prompt segments look: a refused connection for each lost call would add up when a pool crashes.

--- a/crates/core/src/routing/rate_limits.rs
+++ b/crates/core/src/routing/rate_limits.rs
@@ -85,6 +85,14 @@
         self.heard.iter().map(statement).collect()
     }
 
+    /// Number of endpoints with a limit.
+    pub fn count(&self) -> usize {
+        self.heard
+            .values()
+            .filter(|heard| heard.per_s.is_some())
+            .count()
+    }
+
     /// Calls per second that the endpoint takes from all entries; `None` for no limit.
     pub fn per_s(&self, endpoint: EndpointHash) -> Option<f64> {
         self.heard.get(&endpoint)?.per_s
--- a/crates/entry/src/forward/metrics.rs
+++ b/crates/entry/src/forward/metrics.rs
@@ -33,6 +33,8 @@
     ejected: Gauge<u64>,
     in_flight: Gauge<u64>,
     waiting_work: Gauge<f64>,
+    blocked_segments: Gauge<u64>,
+    limited_endpoints: Gauge<u64>,
 }
 
 /// Values of the gauges.
@@ -50,6 +52,10 @@
     pub in_flight: usize,
     /// Prefill work of attempts whose responses have not begun, in milliseconds.
     pub pending_work_ms: f64,
+    /// Number of blocked prompt segments.
+    pub blocked_segments: usize,
+    /// Number of endpoints that have named a limit.
+    pub limited_endpoints: usize,
 }
 
 impl Default for ForwardMetrics {
@@ -100,6 +106,14 @@
             ),
             in_flight: gauge("chestnutloft.in_flight", "Attempts under way"),
             waiting_work: seconds("chestnutloft.waiting_work", "Work sent and not begun"),
+            blocked_segments: gauge(
+                "chestnutloft.segments.blocked",
+                "Prompt segments that are blocked",
+            ),
+            limited_endpoints: gauge(
+                "chestnutloft.endpoints.limited",
+                "Endpoints that have named a call rate",
+            ),
             page,
         }
     }
@@ -184,6 +198,10 @@
         self.in_flight.record(gauges.in_flight as u64, &[]);
         self.waiting_work
             .record(gauges.pending_work_ms / 1_000.0, &[]);
+        self.blocked_segments
+            .record(gauges.blocked_segments as u64, &[]);
+        self.limited_endpoints
+            .record(gauges.limited_endpoints as u64, &[]);
         self.page.text()
     }
 }
@@ -212,6 +230,8 @@
                 .iter()
                 .map(|item| f64::from(item.work_ms))
                 .sum(),
+            blocked_segments: self.segments.blocked_count(),
+            limited_endpoints: self.stated_limits.count(),
         }
     }
 }
--- a/crates/entry/src/forward/pipeline.rs
+++ b/crates/entry/src/forward/pipeline.rs
@@ -332,7 +332,9 @@
     /// Records that the call was lost at `endpoint` before its answer went on.
     pub fn record_lost(&mut self, endpoint: &ChosenEndpoint) {
         self.lost_attempts += 1;
-        report_end(&self.context, endpoint);
+        if !self.call.shared_segments().is_empty() {
+            report_end(&self.context, endpoint);
+        }
     }
 
     /// Whether the call may be sent again after it was lost: what it contains may be the cause.
--- a/crates/entry/src/forward/segments.rs
+++ b/crates/entry/src/forward/segments.rs
@@ -187,6 +187,17 @@
         has_calls
     }
 
+    /// Whether the end of the same process is known.
+    pub fn knows_end(&self, end: &EndpointEnd) -> bool {
+        let mut ends = self.ends.iter();
+        ends.any(|known| known.end.endpoint == end.endpoint && known.end.born_ms == end.born_ms)
+    }
+
+    /// Number of blocked segments.
+    pub fn blocked_count(&self) -> usize {
+        self.blocked.len()
+    }
+
     fn merge_end(&mut self, at: TimePoint, end: EndpointEnd) {
         let is_same = |known: &&mut ObservedEnd| {
             known.end.endpoint == end.endpoint && known.end.born_ms == end.born_ms
@@ -331,15 +342,16 @@
     let Some(end) = context.state().describe_end(&endpoint.id) else {
         return;
     };
+    if context.state().segments.knows_end(&end) {
+        record_confirmed_end(context, lost_at, end);
+        return;
+    }
     let context = Arc::clone(context);
     let address = Arc::clone(&endpoint.address);
     tokio::spawn(async move {
         match EndpointConnection::open(&address).await {
             Ok(connection) => context.connections.put(clock::now(), &address, connection),
-            Err(ConnectionError::Refused(_)) => {
-                context.state().segments.record_end(lost_at, end);
-                context.segment_news.notify_one();
-            }
+            Err(ConnectionError::Refused(_)) => record_confirmed_end(&context, lost_at, end),
             Err(error) => spdlog::debug!(
                 "segments: cannot tell whether endpoint {} has ended: {error:?}.",
                 end.endpoint
@@ -348,6 +360,12 @@
     });
 }
 
+fn record_confirmed_end(context: &ForwardContext, at: TimePoint, end: EndpointEnd) {
+    if context.state().segments.record_end(at, end) {
+        context.segment_news.notify_one();
+    }
+}
+
 /// Completes when a segment in `segments` is blocked.
 pub async fn wait_until_blocked(context: Arc<ForwardContext>, segments: Vec<u64>) {
     let mut changes = context.segment_blocks.subscribe();
