Send a call on trial to one endpoint only

Cause: the first answer began, was abandoned for a larger model, and the call went to a second endpoint. Change: a call on trial is neither retried nor escalated, a call with a segment that two ends count against is not escalated. Test: a_call_on_trial_is_not_sent_again (the question did not exist before).

--- a/crates/entry/src/forward/pipeline.rs
+++ b/crates/entry/src/forward/pipeline.rs
@@ -337,13 +337,18 @@
         }
     }
 
-    /// Whether the call may be sent again after it was lost: what it contains may be the cause.
-    fn may_retry_lost(&self) -> bool {
+    /// Whether the call may be sent again as far as its prompt is concerned: it may end endpoints.
+    fn allows_repeat(&self) -> bool {
         let segments = self.call.shared_segments();
-        self.lost_attempts == 0
-            || segments.is_empty()
-            || self.lost_attempts <= MAX_LOST_RETRIES
-                && self.context.state().segments.may_retry_lost(&segments)
+        if segments.is_empty() || self.is_last_unsent {
+            return true;
+        }
+        let state = self.context.state();
+        if self.lost_attempts == 0 {
+            !state.segments.has_block(&segments)
+        } else {
+            self.lost_attempts <= MAX_LOST_RETRIES && state.segments.may_repeat(&segments)
+        }
     }
 
     /// Records that an endpoint failed a call that it had received.
@@ -467,7 +472,7 @@
         let now = clock::now();
         let is_safe = !self.may_have_run || self.call.route.kind.is_repeatable();
         is_safe
-            && self.may_retry_lost()
+            && self.allows_repeat()
             && self.has_attempts_left()
             && self.call.time_left(now) > MIN_ATTEMPT_TIME
             && (self.is_last_unsent
@@ -483,6 +488,10 @@
         if self.call.head.model != RequestedModel::Any {
             return false;
         }
+        let segments = self.call.shared_segments();
+        if !self.context.state().segments.may_repeat(&segments) {
+            return false;
+        }
         let now = clock::now();
         let policy = EscalationPolicy::new(self.context.escalation.clone(), self.model_costs());
         let pool = self.context.state().pool_load(now, &self.call.service.name);
--- a/crates/entry/src/forward/segments.rs
+++ b/crates/entry/src/forward/segments.rs
@@ -30,8 +30,8 @@
 const ABANDONED_WINDOW: Duration = Duration::from_secs(1);
 /// Number of segments whose progress an entry remembers.
 const MAX_PROGRESS: usize = 8_192;
-/// Number of suspicious ends from which a lost call with the segment is not sent again.
-const MAX_ENDS_FOR_RETRY: u32 = 2;
+/// Number of suspicious ends from which a call with the segment is not sent again before its answer has gone on.
+const MAX_ENDS_FOR_REPEAT: u32 = 2;
 
 /// Whether a call may be sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -149,13 +149,20 @@
         blocks.any(|block| block.stage == SegmentStage::Blocked)
     }
 
-    /// Whether a call with `segments` that was lost with its endpoint may be sent again.
-    pub fn may_retry_lost(&self, segments: &[u64]) -> bool {
+    /// Whether a segment is blocked or on trial.
+    pub fn has_block(&self, segments: &[u64]) -> bool {
+        segments
+            .iter()
+            .any(|segment| self.blocked.contains_key(segment))
+    }
+
+    /// Whether a call with `segments` may be sent again, although it may have ended its endpoint.
+    pub fn may_repeat(&self, segments: &[u64]) -> bool {
         let is_suspect = |segment: &u64| {
             let ends = self.suspicions.get(segment);
-            ends.is_some_and(|ends| *ends >= MAX_ENDS_FOR_RETRY)
+            ends.is_some_and(|ends| *ends >= MAX_ENDS_FOR_REPEAT)
         };
-        !segments.iter().any(is_suspect)
+        !self.has_block(segments) && !segments.iter().any(is_suspect)
     }
 
     /// Records an attempt that ended before its answer went on.
--- a/crates/entry/tests/segments.rs
+++ b/crates/entry/tests/segments.rs
@@ -129,7 +129,7 @@
 }
 
 #[test]
-fn a_lost_call_with_a_segment_that_was_lost_twice_is_not_sent_again() {
+fn a_call_with_a_segment_that_was_lost_twice_is_not_sent_again() {
     let mut knowledge = SegmentKnowledge::default();
     let suspicion = |segment, ends| SegmentSuspicion { segment, ends };
     knowledge.set_suspicions(&SegmentSuspicions {
@@ -137,8 +137,18 @@
         ended: Vec::new(),
     });
 
-    assert!(knowledge.may_retry_lost(&[1, 2]));
-    assert!(!knowledge.may_retry_lost(&[1, DEADLY]));
+    assert!(knowledge.may_repeat(&[1, 2]));
+    assert!(!knowledge.may_repeat(&[1, DEADLY]));
+}
+
+#[test]
+fn a_call_on_trial_is_not_sent_again() {
+    let mut knowledge = SegmentKnowledge::default();
+
+    knowledge.set_blocked(vec![block(SegmentStage::Trial { round: 0 })]);
+
+    assert!(!knowledge.may_repeat(&[1, DEADLY]));
+    assert!(knowledge.may_repeat(&[1, 2]));
 }
 
 #[test]
