Move what an entry decides on prompt segments into core

Decisions stand in core::routing, tested without a network; forward/segments.rs only observes. An end that an entry hears of from others is that of the process that ended, also when the endpoint has restarted under its id (an_end_that_is_known_elsewhere_belongs_to_the_process_that_ended; before, the new process was named and the end counted twice).

--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -14,6 +14,7 @@
 mod rate_limits;
 mod rollout;
 mod segment_faults;
+mod segment_knowledge;
 mod sessions;
 mod state;
 mod table;
@@ -44,6 +45,7 @@
     EndedEndpoint, EndpointEnd, LostCall, SegmentBlock, SegmentChange, SegmentFaultDetector,
     SegmentFaultSettings, SegmentProgress, SegmentStage, SegmentSuspicion, SegmentSuspicions,
 };
+pub use segment_knowledge::{SegmentAdmission, SegmentKnowledge};
 pub use sessions::{SessionHash, SessionVersions, VersionPreference, session_hash};
 pub use state::{
     DeclarationUpdate, RoutingCommand, RoutingOutcome, RoutingRevision, RoutingState,
--- a/crates/core/src/routing/segment_faults.rs
+++ b/crates/core/src/routing/segment_faults.rs
@@ -13,6 +13,16 @@
 
 use crate::time::TimePoint;
 
+/// Age up to which entries are told of an end.
+const RECENT_END: Duration = Duration::from_secs(3);
+/// Weight of an end with a call that was not lost before.
+const FIRST_LOSS: usize = 2;
+/// Weight of an end with calls that were lost before only: they were sent again together with other
+/// calls that were lost with them.
+const REPEATED_LOSS: usize = 1;
+/// Interval between evaluations while nothing is reported.
+const EVALUATION_INTERVAL: Duration = Duration::from_millis(500);
+
 /// When a segment is blocked, and for how long.
 #[derive(Clone, Debug, PartialEq)]
 pub struct SegmentFaultSettings {
@@ -87,6 +97,13 @@
     pub calls: Vec<LostCall>,
 }
 
+impl EndpointEnd {
+    /// Whether both are the end of the same process.
+    pub fn is_same_process(&self, other: &Self) -> bool {
+        self.endpoint == other.endpoint && self.born_ms == other.born_ms
+    }
+}
+
 /// An answer to a call with a segment went on after its beginning.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SegmentProgress {
@@ -101,6 +118,8 @@
 pub struct EndedEndpoint {
     /// Id of the endpoint.
     pub endpoint: Arc<str>,
+    /// Start time of the process, in Unix milliseconds.
+    pub born_ms: u64,
     /// Time since the end, in milliseconds.
     pub age_ms: u64,
 }
@@ -194,16 +213,6 @@
     evaluated_at: Option<TimePoint>,
 }
 
-/// Age up to which entries are told of an end.
-const RECENT_END: Duration = Duration::from_secs(3);
-/// Weight of an end with a call that was not lost before.
-const FIRST_LOSS: usize = 2;
-/// Weight of an end with calls that were lost before only: they were sent again together with other
-/// calls that were lost with them.
-const REPEATED_LOSS: usize = 1;
-/// Interval between evaluations while nothing is reported.
-const EVALUATION_INTERVAL: Duration = Duration::from_millis(500);
-
 impl SegmentFaultDetector {
     /// Creates a detector without reports.
     pub fn new(settings: SegmentFaultSettings) -> Self {
@@ -215,10 +224,8 @@
 
     /// Records a reported end. Reports of the same end are merged.
     pub fn record_end(&mut self, now: TimePoint, end: EndpointEnd) {
-        let is_same = |known: &&mut RecordedEnd| {
-            known.end.endpoint == end.endpoint && known.end.born_ms == end.born_ms
-        };
-        if let Some(known) = self.ends.iter_mut().find(is_same) {
+        let mut ends = self.ends.iter_mut();
+        if let Some(known) = ends.find(|known| known.end.is_same_process(&end)) {
             for call in end.calls {
                 if !known.end.calls.contains(&call) {
                     known.end.calls.push(call);
@@ -261,7 +268,8 @@
         let recent = recent.take_while(|recorded| now.since(recorded.at) < RECENT_END);
         let ended = recent.map(|recorded| EndedEndpoint {
             endpoint: Arc::clone(&recorded.end.endpoint),
-            age_ms: u64::try_from(now.since(recorded.at).as_millis()).unwrap_or(u64::MAX),
+            born_ms: recorded.end.born_ms,
+            age_ms: age_ms(now, recorded.at),
         });
         SegmentSuspicions {
             segments: self.suspicions.clone(),
@@ -514,6 +522,11 @@
     }
 }
 
+/// Time since `at`, in milliseconds.
+pub(super) fn age_ms(now: TimePoint, at: TimePoint) -> u64 {
+    u64::try_from(now.since(at).as_millis()).unwrap_or(u64::MAX)
+}
+
 fn is_within(a: TimePoint, b: TimePoint, distance: Duration) -> bool {
     a.since(b).max(b.since(a)) < distance
 }
--- a/crates/core/tests/routing/main.rs
+++ b/crates/core/tests/routing/main.rs
@@ -13,6 +13,7 @@
 mod rate_limits;
 mod rollout;
 mod segment_faults;
+mod segment_knowledge;
 mod sessions;
 mod state;
 mod table;
--- a/crates/entry/tests/segments.rs
+++ b/crates/core/tests/routing/segment_knowledge.rs
@@ -1,12 +1,10 @@
-//! Tests of what an entry knows of prompt segments that make endpoints fail.
-
 use std::sync::Arc;
 
 use chestnutloft_core::routing::{
-    EndpointEnd, LostCall, SegmentBlock, SegmentStage, SegmentSuspicion, SegmentSuspicions,
+    EndpointEnd, LostCall, SegmentAdmission, SegmentBlock, SegmentKnowledge, SegmentStage,
+    SegmentSuspicion, SegmentSuspicions,
 };
 use chestnutloft_core::time::TimePoint;
-use chestnutloft_entry::forward::segments::{SegmentAdmission, SegmentKnowledge};
 
 const DEADLY: u64 = 66;
 
@@ -132,7 +130,7 @@
 fn a_call_with_a_segment_that_was_lost_twice_is_not_sent_again() {
     let mut knowledge = SegmentKnowledge::default();
     let suspicion = |segment, ends| SegmentSuspicion { segment, ends };
-    knowledge.set_suspicions(&SegmentSuspicions {
+    knowledge.set_suspicions(SegmentSuspicions {
         segments: vec![suspicion(1, 1), suspicion(DEADLY, 2)],
         ended: Vec::new(),
     });
@@ -160,7 +158,7 @@
     knowledge.set_blocked(Vec::new());
 
     let all = (0..20_000).map(|segment| SegmentSuspicion { segment, ends: 1 });
-    knowledge.set_suspicions(&SegmentSuspicions {
+    knowledge.set_suspicions(SegmentSuspicions {
         segments: all.collect(),
         ended: Vec::new(),
     });
--- a/crates/entry/src/forward/pipeline.rs
+++ b/crates/entry/src/forward/pipeline.rs
@@ -11,7 +11,7 @@
 
 use chestnutloft_core::hash::key_hash;
 use chestnutloft_core::routing::{
-    CallKind, CallTokens, EscalationCandidate, EscalationPolicy, ModelLane,
+    CallKind, CallTokens, EscalationCandidate, EscalationPolicy, ModelLane, SegmentAdmission,
 };
 use chestnutloft_core::time::TimePoint;
 use chestnutloft_wire::clock;
@@ -23,7 +23,7 @@
 use super::context::ForwardContext;
 use super::inbound::{InboundCall, receive_call};
 use super::relay::StreamRelay;
-use super::segments::{SegmentAdmission, TrialGuard, report_end, wait_until_blocked};
+use super::segments::{TrialGuard, report_end, wait_until_blocked};
 
 /// Time that must be left until the deadline to start an attempt.
 pub(super) const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(15);
--- a/crates/entry/src/forward/state.rs
+++ b/crates/entry/src/forward/state.rs
@@ -9,11 +9,11 @@
     ArmCount, ArmKey, EndpointNotice, EndpointPhase, EndpointRateLimiter, EventGapReport,
     EventGapTracker, HealthSettings, IdleGap, PlacementSettings, PoolHealth, PrefillTimeEstimator,
     QueueDelayEstimator, RolloutStage, RolloutState, RouteDeclaration, RouteTable, RoutingRevision,
-    RoutingUpdate, ServiceRetryBudget, ServiceRetrySettings, SessionVersions, StatedLimits,
+    RoutingUpdate, SegmentAdmission, SegmentKnowledge, ServiceRetryBudget, ServiceRetrySettings,
+    SessionVersions, StatedLimits,
 };
 use chestnutloft_core::time::TimePoint;
 
-use super::segments::{SegmentAdmission, SegmentKnowledge};
 use super::settings::{ForwardSettings, SharedLimits};
 
 /// Share of the key withdrawal time for which an entry accepts keys without a new confirmation by
--- a/crates/entry/src/forward/watch.rs
+++ b/crates/entry/src/forward/watch.rs
@@ -7,7 +7,9 @@
 use chestnutloft_core::routing::{RoutingUpdate, SegmentSuspicions, SessionHash};
 use chestnutloft_core::time::TimePoint;
 use chestnutloft_wire::clock;
-use chestnutloft_wire::message::{PeerLists, WatchCall, WatchReply, sessions_hash};
+use chestnutloft_wire::message::{
+    PeerLists, WatchCall, WatchReply, sessions_hash, suspicions_hash,
+};
 use chestnutloft_wire::rpc::Method;
 use chestnutloft_wire::rpc_client::RpcClient;
 use chestnutloft_wire::settings::SeedReader;
@@ -193,10 +195,10 @@
         let mut state = self.context.state();
         state.segments.confirm_ends();
         if let Some(suspicions) = reply.suspicions {
-            state.segments.set_suspicions(&suspicions);
             if state.record_known_ends(now, &suspicions.ended) {
                 self.context.segment_news.notify_one();
             }
+            state.segments.set_suspicions(suspicions);
         }
         drop(state);
         self.apply_update(now, requested_at, *reply.update, reply.peers);
@@ -214,7 +216,7 @@
             bound_hash: self.bound_hash,
             ends: state.segments.take_due_ends(now),
             progress: state.segments.relevant_progress(now),
-            suspicions_hash: state.segments.suspicions_hash(),
+            suspicions_hash: suspicions_hash(state.segments.suspicions()),
         }
     }
 
--- a/crates/entry/tests/state.rs
+++ b/crates/entry/tests/state.rs
@@ -1,13 +1,13 @@
-//! Endpoint choice of an entry during roll-outs, without a network.
+//! Endpoint choice of an entry during roll-outs, and ends of endpoints, without a network.
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
 use chestnutloft_core::routing::{
-    DeclarationUpdate, DirectoryChange, EndpointNotice, EndpointPhase, ModelLane, PoolEndpoint,
-    RolloutOrder, RolloutStage, RolloutState, RoutingUpdate, ServiceRule, SessionHash,
-    session_hash,
+    DeclarationUpdate, DirectoryChange, EndedEndpoint, EndpointNotice, EndpointPhase, LostCall,
+    ModelLane, PoolEndpoint, RolloutOrder, RolloutStage, RolloutState, RoutingUpdate, ServiceRule,
+    SessionHash, session_hash,
 };
 use chestnutloft_core::time::TimePoint;
 use chestnutloft_entry::forward::choice::{
@@ -239,3 +239,32 @@
     assert_eq!(after_failure, first);
     assert!(first.is_some());
 }
+
+#[test]
+fn an_end_that_is_known_elsewhere_belongs_to_the_process_that_ended() {
+    let mut state = state_with_v1_endpoint();
+    let id: Arc<str> = Arc::from("old");
+    let call = LostCall {
+        call: 1,
+        segments: vec![7],
+    };
+    state.segments.record_abandoned(at(100), &id, call);
+    let mut restarted = endpoint("old", "v1", 2, 0);
+    restarted.endpoint.notice.born_ms = 2;
+    let update = RoutingUpdate {
+        index: 2,
+        endpoints: vec![restarted],
+        ..RoutingUpdate::default()
+    };
+    state.apply(at(200), at(200), update);
+
+    let ended = EndedEndpoint {
+        endpoint: id,
+        born_ms: 1,
+        age_ms: 150,
+    };
+    let has_news = state.record_known_ends(at(300), &[ended]);
+
+    assert!(has_news);
+    assert_eq!(state.segments.take_due_ends(at(300))[0].born_ms, 1);
+}
