Give points in time a difference in whole milliseconds

Six places converted a duration to milliseconds with the same checked conversion; two of them came with the detector of segment faults and the stated limits. TimePoint::millis_since serves them.

--- a/crates/core/src/routing/rate_limits.rs
+++ b/crates/core/src/routing/rate_limits.rs
@@ -80,7 +80,7 @@
         let statement = |(endpoint, heard): (&EndpointHash, &HeardLimit)| LimitStatement {
             endpoint: *endpoint,
             per_s: heard.per_s,
-            age_ms: u64::try_from(now.since(heard.at).as_millis()).unwrap_or(u64::MAX),
+            age_ms: now.millis_since(heard.at),
         };
         self.heard.iter().map(statement).collect()
     }
--- a/crates/core/src/routing/segment_faults.rs
+++ b/crates/core/src/routing/segment_faults.rs
@@ -269,7 +269,7 @@
         let ended = recent.map(|recorded| EndedEndpoint {
             endpoint: Arc::clone(&recorded.end.endpoint),
             born_ms: recorded.end.born_ms,
-            age_ms: age_ms(now, recorded.at),
+            age_ms: now.millis_since(recorded.at),
         });
         SegmentSuspicions {
             segments: self.suspicions.clone(),
@@ -522,11 +522,6 @@
     }
 }
 
-/// Time since `at`, in milliseconds.
-pub(super) fn age_ms(now: TimePoint, at: TimePoint) -> u64 {
-    u64::try_from(now.since(at).as_millis()).unwrap_or(u64::MAX)
-}
-
 fn is_within(a: TimePoint, b: TimePoint, distance: Duration) -> bool {
     a.since(b).max(b.since(a)) < distance
 }
--- a/crates/core/src/routing/segment_knowledge.rs
+++ b/crates/core/src/routing/segment_knowledge.rs
@@ -9,7 +9,7 @@
 use crate::time::TimePoint;
 
 use super::segment_faults::{
-    EndpointEnd, LostCall, SegmentBlock, SegmentProgress, SegmentStage, SegmentSuspicions, age_ms,
+    EndpointEnd, LostCall, SegmentBlock, SegmentProgress, SegmentStage, SegmentSuspicions,
 };
 
 /// Number of ends that an entry remembers, to report them to a new leader.
@@ -233,7 +233,7 @@
         let take = |observed: &mut ObservedEnd| {
             observed.report = ReportState::Sent;
             EndpointEnd {
-                age_ms: age_ms(now, observed.at),
+                age_ms: now.millis_since(observed.at),
                 ..observed.end.clone()
             }
         };
@@ -270,7 +270,7 @@
             let began_at = self.progress.get(&segment)?;
             Some(SegmentProgress {
                 segment,
-                age_ms: age_ms(now, *began_at),
+                age_ms: now.millis_since(*began_at),
             })
         };
         segments.filter_map(progress).collect()
--- a/crates/core/src/state/lease.rs
+++ b/crates/core/src/state/lease.rs
@@ -223,8 +223,7 @@
                 entry: record.live.entry.clone(),
                 incarnation: record.live.incarnation,
                 revision: record.revision,
-                silent_ms: u64::try_from(now.since(record.last_heartbeat_at).as_millis())
-                    .unwrap_or(u64::MAX),
+                silent_ms: now.millis_since(record.last_heartbeat_at),
                 is_live: Self::is_valid_grant(record, now, settings),
             })
             .collect()
--- a/crates/core/src/time.rs
+++ b/crates/core/src/time.rs
@@ -53,6 +53,11 @@
     pub const fn since(self, earlier: Self) -> Duration {
         Duration::from_micros(self.0.saturating_sub(earlier.0))
     }
+
+    /// Whole milliseconds since `earlier`, rounded down, or zero if `earlier` is later than `self`.
+    pub const fn millis_since(self, earlier: Self) -> u64 {
+        self.0.saturating_sub(earlier.0) / 1_000
+    }
 }
 
 impl Add<Duration> for TimePoint {
--- a/crates/entry/src/forward/choice.rs
+++ b/crates/entry/src/forward/choice.rs
@@ -409,7 +409,7 @@
             Some(RolloutAge {
                 service: Arc::clone(&order.service),
                 target: Arc::clone(&order.target),
-                age_ms: u64::try_from(now.since(*known_at).as_millis()).unwrap_or(u64::MAX),
+                age_ms: now.millis_since(*known_at),
             })
         };
         running.filter_map(age).collect()
--- a/crates/keeper/src/routing_coordinator.rs
+++ b/crates/keeper/src/routing_coordinator.rs
@@ -275,9 +275,7 @@
 
     fn endpoint_change(&self, now: TimePoint, endpoint: &PoolEndpoint) -> DirectoryChange {
         let cold_left_ms = match self.liveness.get(&endpoint.notice.id) {
-            Some(liveness) => {
-                u64::try_from(liveness.cold_until.since(now).as_millis()).unwrap_or(u64::MAX)
-            }
+            Some(liveness) => liveness.cold_until.millis_since(now),
             // Announced only to an earlier leader: uses the remaining time that was replicated.
             None => endpoint.notice.cold_left_ms,
         };
@@ -366,8 +364,7 @@
             let Some(clock) = self.rollout_clocks.get_mut(&key) else {
                 continue;
             };
-            let elapsed = now.since(clock.started_at);
-            let elapsed_ms = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX);
+            let elapsed_ms = now.millis_since(clock.started_at);
             let mut analysis = CanaryAnalysis::new(CanaryThresholds::default());
             for (key, count) in self.entry_reports.values().flat_map(|report| &report.arms) {
                 analysis.add(key, count);
