--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -13,6 +13,7 @@
 mod queue_delay;
 mod rate_limits;
 mod rollout;
+mod segment_evidence;
 mod segment_faults;
 mod segment_knowledge;
 mod sessions;
--- a/crates/core/src/routing/segment_faults.rs
+++ b/crates/core/src/routing/segment_faults.rs
@@ -5,6 +5,7 @@
 //! end shows which calls were lost together, not which of their segments is the cause, so the
 //! segments of several ends are compared, and answers that went on elsewhere count against it.
 
+use std::borrow::Cow;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,13 +14,10 @@
 
 use crate::time::TimePoint;
 
+use super::segment_evidence::{RecordedEnd, SegmentEvidence};
+
 /// Age up to which entries are told of an end.
 const RECENT_END: Duration = Duration::from_secs(3);
-/// Weight of an end with a call that was not lost before.
-const FIRST_LOSS: usize = 2;
-/// Weight of an end with calls that were lost before only: they were sent again together with other
-/// calls that were lost with them.
-const REPEATED_LOSS: usize = 1;
 /// Interval between evaluations while nothing is reported.
 const EVALUATION_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -177,23 +175,6 @@
     },
 }
 
-#[derive(Clone, Debug)]
-struct RecordedEnd {
-    end: EndpointEnd,
-    at: TimePoint,
-}
-
-/// What counts against one segment.
-#[derive(Clone, Debug, Default)]
-struct SegmentEvidence {
-    ends: usize,
-    weight: usize,
-    last_counted: Option<TimePoint>,
-    calls: BTreeSet<u64>,
-    /// Highest index in a prompt.
-    position: usize,
-}
-
 /// Compares the ends of endpoints that the entries report.
 #[derive(Clone, Debug, Default)]
 pub struct SegmentFaultDetector {
@@ -294,35 +275,22 @@
         self.evaluated_at = Some(now);
         let ends = self.isolated_ends(pool_size);
         let evidence = self.weigh(&ends);
-        let causes = self.find_causes(&ends, blocked);
-        let is_explained = |segment: &&u64| {
-            let evidence = evidence.get(*segment);
-            !causes.contains(*segment)
-                && evidence.is_some_and(|evidence| evidence.weight >= self.min_weight(**segment))
+        let causes = self.find_causes(&ends, &evidence, blocked);
+        let is_explained = |segment: &u64| {
+            let evidence = evidence.get(segment);
+            !causes.contains(segment)
+                && evidence.is_some_and(|evidence| self.is_sufficient(*segment, evidence))
         };
-        let since = |segment: &u64| (*segment, *self.explained.get(segment).unwrap_or(&now));
-        let explained: HashMap<u64, TimePoint> =
-            blocked.keys().filter(is_explained).map(since).collect();
+        let explained = blocked.keys().copied().filter(is_explained);
+        let explained = keep_start_times(now, &self.explained, explained);
+        let candidates = causes.iter().copied();
+        let candidates = candidates.filter(|segment| !blocked.contains_key(segment));
+        let candidates = keep_start_times(now, &self.candidates, candidates);
         let mut changes: Vec<SegmentChange> = blocked
             .values()
             .filter_map(|block| self.next_stage(now, block, &ends, &explained))
             .collect();
-        let free = self.settings.max_blocks.saturating_sub(blocked.len());
-        let new = causes
-            .into_iter()
-            .filter(|segment| !blocked.contains_key(segment));
-        let since = |segment| (segment, self.candidates.get(&segment).map_or(now, |at| *at));
-        let candidates: HashMap<u64, TimePoint> = new.map(since).collect();
-        let settled = candidates
-            .iter()
-            .filter(|(_, since)| now.since(**since) >= self.settings.settling);
-        changes.extend(settled.take(free).map(|(segment, _)| {
-            SegmentChange::Set(SegmentBlock {
-                segment: *segment,
-                stage: SegmentStage::Blocked,
-                failed_trials: 0,
-            })
-        }));
+        changes.extend(self.new_blocks(now, blocked.len(), &candidates));
         self.candidates = candidates;
         self.explained = explained;
         self.suspicions = evidence
@@ -335,6 +303,27 @@
         changes
     }
 
+    /// Blocks of the candidates that have settled, next to `block_count` earlier ones.
+    fn new_blocks(
+        &self,
+        now: TimePoint,
+        block_count: usize,
+        candidates: &HashMap<u64, TimePoint>,
+    ) -> Vec<SegmentChange> {
+        let free = self.settings.max_blocks.saturating_sub(block_count);
+        let settled = candidates
+            .iter()
+            .filter(|(_, since)| now.since(**since) >= self.settings.settling);
+        let block = |(segment, _): (&u64, &TimePoint)| {
+            SegmentChange::Set(SegmentBlock {
+                segment: *segment,
+                stage: SegmentStage::Blocked,
+                failed_trials: 0,
+            })
+        };
+        settled.take(free).map(block).collect()
+    }
+
     fn track_stages(&mut self, now: TimePoint, blocked: &BTreeMap<u64, SegmentBlock>) {
         self.stages
             .retain(|segment, _| blocked.contains_key(segment));
@@ -412,39 +401,49 @@
         self.ends.iter().filter(is_isolated).collect()
     }
 
-    /// The fewest segments that account for the ends. Of segments with the same evidence, the later
-    /// one in the prompt is chosen, because fewer calls have it.
+    /// The fewest segments that account for the ends, whose evidence is given.
     fn find_causes(
         &self,
         ends: &[&RecordedEnd],
+        evidence: &BTreeMap<u64, SegmentEvidence>,
         blocked: &BTreeMap<u64, SegmentBlock>,
     ) -> Vec<u64> {
         let mut open = ends.to_vec();
+        let mut evidence = Cow::Borrowed(evidence);
         let mut causes = Vec::new();
-        loop {
-            let evidence = self.weigh(&open);
-            let sufficient = evidence
-                .iter()
-                .filter(|(segment, evidence)| evidence.weight >= self.min_weight(**segment));
-            let strongest = sufficient.max_by_key(|(segment, evidence)| {
-                let is_blocked = blocked.contains_key(segment);
-                (evidence.weight, is_blocked, evidence.position)
-            });
-            let Some((segment, _)) = strongest else {
-                return causes;
-            };
-            causes.push(*segment);
-            open.retain(|recorded| !recorded.contains(*segment));
+        while let Some(segment) = self.strongest(&evidence, blocked) {
+            causes.push(segment);
+            open.retain(|recorded| !recorded.contains(segment));
+            evidence = Cow::Owned(self.weigh(&open));
         }
+        causes
+    }
+
+    /// The segment with the most evidence, if that suffices. Of segments with the same evidence, the
+    /// later one in the prompt is chosen, because fewer calls have it.
+    fn strongest(
+        &self,
+        evidence: &BTreeMap<u64, SegmentEvidence>,
+        blocked: &BTreeMap<u64, SegmentBlock>,
+    ) -> Option<u64> {
+        let sufficient = evidence
+            .iter()
+            .filter(|(segment, evidence)| self.is_sufficient(**segment, evidence));
+        let strongest = sufficient.max_by_key(|(segment, evidence)| {
+            let is_blocked = blocked.contains_key(segment);
+            (evidence.weight, is_blocked, evidence.position)
+        });
+        strongest.map(|(segment, _)| *segment)
     }
 
-    /// Weight of ends at which `segment` is blocked.
-    fn min_weight(&self, segment: u64) -> usize {
-        if self.progress.contains_key(&segment) {
+    /// Whether `evidence` suffices to block `segment`.
+    fn is_sufficient(&self, segment: u64, evidence: &SegmentEvidence) -> bool {
+        let min_weight = if self.progress.contains_key(&segment) {
             self.settings.min_weight_after_progress
         } else {
             self.settings.min_weight
-        }
+        };
+        evidence.weight >= min_weight
     }
 
     /// Evidence of `ends`, which are sorted by time, against each segment.
@@ -470,58 +469,16 @@
     }
 }
 
-/// Calls with one segment that were lost with one endpoint.
-#[derive(Clone, Debug, Default)]
-struct InvolvedCalls {
-    calls: Vec<u64>,
-    /// Highest index of the segment in a prompt.
-    position: usize,
-}
-
-impl SegmentEvidence {
-    /// Adds the end of an endpoint at `at`, unless it may have the same cause as the previous one.
-    fn add(&mut self, at: TimePoint, involved: &InvolvedCalls, simultaneous: Duration) {
-        let is_repeat = |call: &u64| self.calls.contains(call);
-        let has_repeats = involved.calls.iter().any(is_repeat);
-        let has_new = !involved.calls.iter().all(is_repeat);
-        let is_separate = self
-            .last_counted
-            .is_none_or(|last| at.since(last) >= simultaneous || has_repeats && at > last);
-        self.position = self.position.max(involved.position);
-        self.calls.extend(&involved.calls);
-        if is_separate {
-            self.ends += 1;
-            self.weight += if has_new { FIRST_LOSS } else { REPEATED_LOSS };
-            self.last_counted = Some(at);
-        }
-    }
-}
-
-impl RecordedEnd {
-    fn calls_by_segment(&self) -> BTreeMap<u64, InvolvedCalls> {
-        let mut all: BTreeMap<u64, InvolvedCalls> = BTreeMap::new();
-        for lost in &self.end.calls {
-            for (position, segment) in lost.segments.iter().enumerate() {
-                let involved = all.entry(*segment).or_default();
-                involved.calls.push(lost.call);
-                involved.position = involved.position.max(position);
-            }
-        }
-        all
-    }
-
-    fn contains(&self, segment: u64) -> bool {
-        let mut calls = self.end.calls.iter();
-        calls.any(|call| call.segments.contains(&segment))
-    }
-
-    /// Whether a call was lost at both endpoints, so that one ended after the other.
-    fn shares_call(&self, other: &Self) -> bool {
-        let mut calls = self.end.calls.iter();
-        calls.any(|call| other.end.calls.iter().any(|lost| lost.call == call.call))
-    }
-}
-
 fn is_within(a: TimePoint, b: TimePoint, distance: Duration) -> bool {
     a.since(b).max(b.since(a)) < distance
 }
+
+/// Each of `segments` with the time since which it is one of them: that in `known`, else `now`.
+fn keep_start_times(
+    now: TimePoint,
+    known: &HashMap<u64, TimePoint>,
+    segments: impl Iterator<Item = u64>,
+) -> HashMap<u64, TimePoint> {
+    let with_start = |segment| (segment, known.get(&segment).copied().unwrap_or(now));
+    segments.map(with_start).collect()
+}
