Read the shared prompt segments once per call

The ids were collected anew for each choice, log line, admission, failure and escalation, up to eight times a call. The call carries them now.

--- a/crates/entry/src/forward/inbound.rs
+++ b/crates/entry/src/forward/inbound.rs
@@ -13,7 +13,7 @@
 use chestnutloft_wire::clock;
 use chestnutloft_wire::http::{ReadError, read_body};
 
-use super::codec::{CallHead, CallRefusal};
+use super::codec::{CallHead, CallRefusal, PromptSegment};
 use super::context::ForwardContext;
 
 /// Share of a call's timeout for which it waits at an entry that has no routes yet.
@@ -39,6 +39,8 @@
     pub service: Arc<ServiceRule>,
     /// Workspace of the caller; `None` where the route needs no key.
     pub workspace: Option<Arc<WorkspaceRule>>,
+    /// Ids of the prompt segments that other calls may have as well: all but the last.
+    pub shared_segments: Arc<[u64]>,
     /// When the call was received.
     pub received_at: TimePoint,
     /// When the caller stops waiting.
@@ -67,13 +69,12 @@
                 .as_bytes(),
         )
     }
+}
 
-    /// Ids of the prompt segments that other calls may have as well: all but the last.
-    pub fn shared_segments(&self) -> Vec<u64> {
-        let shared = self.head.prompt.split_last().map(|(_, shared)| shared);
-        let shared = shared.unwrap_or_default().iter();
-        shared.map(|segment| segment.id).collect()
-    }
+fn shared_segments(prompt: &[PromptSegment]) -> Arc<[u64]> {
+    let shared = prompt.split_last().map(|(_, shared)| shared);
+    let shared = shared.unwrap_or_default().iter();
+    shared.map(|segment| segment.id).collect()
 }
 
 /// Reads a call with its body and matches it to a route.
@@ -109,6 +110,7 @@
     let route_timeout = Duration::from_millis(route.timeout_ms);
     let timeout = head.timeout.unwrap_or(route_timeout).min(route_timeout);
     Ok(InboundCall {
+        shared_segments: shared_segments(&head.prompt),
         head,
         parts,
         body,
--- a/crates/entry/src/forward/mod.rs
+++ b/crates/entry/src/forward/mod.rs
@@ -19,6 +19,7 @@
 mod outcomes;
 mod pipeline;
 mod relay;
+mod retries;
 pub mod segments;
 mod server;
 pub mod settings;
--- a/crates/entry/src/forward/pipeline.rs
+++ b/crates/entry/src/forward/pipeline.rs
@@ -45,14 +45,6 @@
 /// Largest response body that is not relayed as a stream. A failing endpoint may send bytes without
 /// end, which would take up the entry's memory.
 const MAX_BUFFERED_BYTES: usize = 8 * 1024 * 1024;
-/// Number of times that a call with a shared prompt is sent again after it was lost with its endpoint.
-const MAX_LOST_RETRIES: u32 = 1;
-/// Number by which the attempts that did not run may exceed the route's limit of attempts.
-const EXTRA_REJECTED_ATTEMPTS: u32 = 2;
-/// Number of endpoints that refused the connection after which a call is given up. When part of a
-/// pool crashes, each entry finds out by its own calls, and the crashed endpoints look idle.
-const MAX_UNREACHABLE_ATTEMPTS: u32 = 32;
-
 /// Handles one call, from its request to the response for the caller.
 pub async fn handle_call(
     context: Arc<ForwardContext>,
@@ -72,11 +64,11 @@
 
 /// Runs a call unless a segment of its prompt is blocked, also while it waits for an answer.
 async fn run_admitted(context: Arc<ForwardContext>, call: InboundCall) -> Response<AnyBody> {
-    let segments = call.shared_segments();
+    let segments = Arc::clone(&call.shared_segments);
     let id = call.head.id.clone();
     let admission = context.state().admit_segments(&segments);
     let _trial = (admission == SegmentAdmission::Trial)
-        .then(|| TrialGuard::new(Arc::clone(&context), segments.clone()));
+        .then(|| TrialGuard::new(Arc::clone(&context), Arc::clone(&segments)));
     if admission != SegmentAdmission::Blocked {
         let blocked = wait_until_blocked(Arc::clone(&context), segments);
         let running = CallExecution::new(Arc::clone(&context), call).run();
@@ -106,9 +98,9 @@
     /// Attempts that did not reach an endpoint.
     pub(super) unreachable_attempts: u32,
     /// Attempts that were lost with the endpoint before the answer went on.
-    lost_attempts: u32,
+    pub(super) lost_attempts: u32,
     /// Whether the last attempt did not reach an endpoint.
-    is_last_unsent: bool,
+    pub(super) is_last_unsent: bool,
     /// Whether an endpoint may have run the call without a valid response.
     pub(super) may_have_run: bool,
     /// Index of the current model in the route's list, smallest first.
@@ -249,10 +241,10 @@
                 ..PromptSize::default()
             };
         };
-        let ids = self.call.shared_segments();
         PromptSize {
             model_hash,
-            prefix_hash: (!ids.is_empty()).then(|| prefix_hash(&ids, model)),
+            prefix_hash: (!prefix.is_empty())
+                .then(|| prefix_hash(&self.call.shared_segments, model)),
             prefix_tokens: prefix.iter().map(|segment| f64::from(segment.tokens)).sum(),
             suffix_tokens: f64::from(suffix.tokens),
         }
@@ -271,7 +263,7 @@
             "call {}: session {:016x} with shared prompt segments {:x?} sent to endpoint {} with version {}, model index {}; expected queueing {:.0} ms, prefill of {} tokens in {:.0} ms.",
             self.call.head.id,
             self.call.session_key(),
-            self.call.shared_segments(),
+            self.call.shared_segments,
             endpoint.id,
             endpoint.version,
             self.model_index,
@@ -332,25 +324,11 @@
     /// Records that the call was lost at `endpoint` before its answer went on.
     pub fn record_lost(&mut self, endpoint: &ChosenEndpoint) {
         self.lost_attempts += 1;
-        if !self.call.shared_segments().is_empty() {
+        if !self.call.shared_segments.is_empty() {
             report_end(&self.context, endpoint);
         }
     }
 
-    /// Whether the call may be sent again as far as its prompt is concerned: it may end endpoints.
-    fn allows_repeat(&self) -> bool {
-        let segments = self.call.shared_segments();
-        if segments.is_empty() || self.is_last_unsent {
-            return true;
-        }
-        let state = self.context.state();
-        if self.lost_attempts == 0 {
-            !state.segments.has_block(&segments)
-        } else {
-            self.lost_attempts <= MAX_LOST_RETRIES && state.segments.may_repeat(&segments)
-        }
-    }
-
     /// Records that an endpoint failed a call that it had received.
     pub fn record_failure(&self, now: TimePoint, endpoint: &ChosenEndpoint) {
         let mut state = self.context.state();
@@ -381,9 +359,10 @@
 
     /// Records that an answer went on, which began at `began_at`.
     pub fn record_progress(&self, began_at: TimePoint) {
-        let segments = self.call.shared_segments();
         let mut state = self.context.state();
-        state.segments.record_progress(began_at, &segments);
+        state
+            .segments
+            .record_progress(began_at, &self.call.shared_segments);
     }
 
     /// Route and model: the outcomes of versions are compared separately for each such pair.
@@ -417,79 +396,14 @@
         }
     }
 
-    /// Whether the route's limits allow another attempt.
-    pub fn has_attempts_left(&self) -> bool {
-        self.attempts < self.call.route.max_attempts
-            && self.rejected_attempts <= EXTRA_REJECTED_ATTEMPTS + self.call.route.max_attempts
-            && self.can_look_for_reachable()
-    }
-
-    /// Whether the call may go on to another endpoint after those that it could not reach. A refused
-    /// connection takes a round trip only, so the call may try all endpoints that it knows, within
-    /// its latency target.
-    fn can_look_for_reachable(&self) -> bool {
-        let min_attempts = EXTRA_REJECTED_ATTEMPTS + self.call.route.max_attempts;
-        if self.unreachable_attempts <= min_attempts {
-            return true;
-        }
-        let known = self
-            .context
-            .state()
-            .available_endpoints(&self.call.service.name)
-            .count();
-        let is_early = clock::now().since(self.call.received_at) < self.call.latency_target();
-        is_early && self.unreachable_attempts < MAX_UNREACHABLE_ATTEMPTS && self.tried.len() < known
-    }
-
-    /// Applies a failed attempt to the call: its attempt counts, and whether it may have run.
-    pub fn apply_failure(&mut self, failure: &AttemptFailure) {
-        match failure {
-            AttemptFailure::Unreachable(_) => {
-                self.attempts -= 1;
-                self.unreachable_attempts += 1;
-                self.is_last_unsent = true;
-                self.failure = "no endpoint could be reached";
-            }
-            AttemptFailure::NotRun { .. } => {
-                self.attempts -= 1;
-                self.rejected_attempts += 1;
-                self.failure = "the endpoints are full";
-            }
-            AttemptFailure::Broken(_) => {
-                self.may_have_run = true;
-                self.failure = "the endpoint broke off";
-            }
-            AttemptFailure::TimedOut(_) => {
-                self.may_have_run = true;
-                self.failure = "the endpoint stayed silent";
-            }
-        }
-    }
-
-    /// Whether the call may be sent once more. If so, takes a retry from the service's budget,
-    /// unless the last attempt reached no endpoint and so put no load on the service.
-    pub fn acquire_retry(&mut self) -> bool {
-        let now = clock::now();
-        let is_safe = !self.may_have_run || self.call.route.kind.is_repeatable();
-        is_safe
-            && self.allows_repeat()
-            && self.has_attempts_left()
-            && self.call.time_left(now) > MIN_ATTEMPT_TIME
-            && (self.is_last_unsent
-                || self
-                    .context
-                    .state()
-                    .take_retry(now, &self.call.service.name))
-    }
-
     /// Discards the response in favor of a larger model if its confidence is low and the pool has
     /// capacity. Returns whether it did.
     fn try_escalate(&mut self, response: &mut EndpointResponse) -> bool {
         if self.call.head.model != RequestedModel::Any {
             return false;
         }
-        let segments = self.call.shared_segments();
-        if !self.context.state().segments.may_repeat(&segments) {
+        let segments = &self.call.shared_segments;
+        if !self.context.state().segments.may_repeat(segments) {
             return false;
         }
         let now = clock::now();
--- a/crates/entry/src/forward/segments.rs
+++ b/crates/entry/src/forward/segments.rs
@@ -52,10 +52,10 @@
 
 /// The call as part of the end of an endpoint; `None` if it shares no prompt segment.
 pub fn lost_call(call: &InboundCall) -> Option<LostCall> {
-    let segments = call.shared_segments();
+    let segments = &call.shared_segments;
     (!segments.is_empty()).then(|| LostCall {
         call: key_hash(call.head.id.as_bytes()),
-        segments,
+        segments: segments.to_vec(),
     })
 }
 
@@ -63,10 +63,13 @@
 /// ended: its address then refuses connections.
 pub fn report_end(context: &Arc<ForwardContext>, endpoint: &ChosenEndpoint) {
     let lost_at = clock::now();
-    let Some(end) = context.state().describe_end(&endpoint.id) else {
+    let state = context.state();
+    let Some(end) = state.describe_end(&endpoint.id) else {
         return;
     };
-    if context.state().segments.knows_end(&end) {
+    let is_known = state.segments.knows_end(&end);
+    drop(state);
+    if is_known {
         record_confirmed_end(context, lost_at, end);
         return;
     }
@@ -91,7 +94,7 @@
 }
 
 /// Completes when a segment in `segments` is blocked.
-pub async fn wait_until_blocked(context: Arc<ForwardContext>, segments: Vec<u64>) {
+pub async fn wait_until_blocked(context: Arc<ForwardContext>, segments: Arc<[u64]>) {
     let mut changes = context.segment_blocks.subscribe();
     while !context.state().segments.is_blocked(&segments) {
         if changes.changed().await.is_err() {
@@ -103,12 +106,12 @@
 /// Counts a call as on trial until dropped.
 pub struct TrialGuard {
     context: Arc<ForwardContext>,
-    segments: Vec<u64>,
+    segments: Arc<[u64]>,
 }
 
 impl TrialGuard {
     /// Starts the trial of a call with `segments`.
-    pub fn new(context: Arc<ForwardContext>, segments: Vec<u64>) -> Self {
+    pub fn new(context: Arc<ForwardContext>, segments: Arc<[u64]>) -> Self {
         Self { context, segments }
     }
 }
