--- a/crates/entry/tests/state.rs
+++ b/crates/entry/tests/state.rs
@@ -90,6 +90,17 @@
     state
 }
 
+/// Starts a trial of version v2 at `now`, with `endpoints`.
+fn start_trial(state: &mut EntryState, now: TimePoint, endpoints: Vec<DirectoryChange>) {
+    let trial = RoutingUpdate {
+        index: 2,
+        endpoints,
+        rollouts: Some(vec![rollout(RolloutStage::Trial, 2)]),
+        ..RoutingUpdate::default()
+    };
+    state.apply(now, now, trial);
+}
+
 fn choose(
     state: &mut EntryState,
     now: TimePoint,
@@ -115,12 +126,7 @@
 #[test]
 fn session_started_before_target_version_was_available_stays_on_old_version() {
     let mut state = state_with_v1_endpoint();
-    let trial = RoutingUpdate {
-        index: 2,
-        rollouts: Some(vec![rollout(RolloutStage::Trial, 2)]),
-        ..RoutingUpdate::default()
-    };
-    state.apply(at(10), at(10), trial);
+    start_trial(&mut state, at(10), Vec::new());
     let versions_before: Vec<String> = (0..SESSIONS)
         .map(|session| version_of(&mut state, at(20), session))
         .collect();
@@ -144,13 +150,7 @@
 #[test]
 fn new_trial_sessions_fall_back_to_old_version_while_target_is_cold() {
     let mut state = state_with_v1_endpoint();
-    let trial = RoutingUpdate {
-        index: 2,
-        endpoints: vec![endpoint("new", "v2", 2, 3_000)],
-        rollouts: Some(vec![rollout(RolloutStage::Trial, 2)]),
-        ..RoutingUpdate::default()
-    };
-    state.apply(at(10), at(10), trial);
+    start_trial(&mut state, at(10), vec![endpoint("new", "v2", 2, 3_000)]);
 
     let refused = (0..20 * SESSIONS)
         .filter(|session| match choose(&mut state, at(1_500), *session) {
@@ -173,13 +173,7 @@
     let _ = (0..SESSIONS)
         .map(|session| version_of(&mut state, at(20), session))
         .count();
-    let trial = RoutingUpdate {
-        index: 2,
-        endpoints: vec![endpoint("new", "v2", 2, 0)],
-        rollouts: Some(vec![rollout(RolloutStage::Trial, 2)]),
-        ..RoutingUpdate::default()
-    };
-    state.apply(at(1_000), at(1_000), trial);
+    start_trial(&mut state, at(1_000), vec![endpoint("new", "v2", 2, 0)]);
     for session in 0..SESSIONS {
         state.record_session_end(at(4_000), "llm", session);
     }
@@ -195,13 +189,7 @@
 #[test]
 fn sessions_pinned_by_other_entries_stay_on_the_old_version_when_another_service_is_rolled_out() {
     let mut state = state_with_v1_endpoint();
-    let trial = RoutingUpdate {
-        index: 2,
-        endpoints: vec![endpoint("new", "v2", 2, 0)],
-        rollouts: Some(vec![rollout(RolloutStage::Trial, 2)]),
-        ..RoutingUpdate::default()
-    };
-    state.apply(at(10), at(10), trial);
+    start_trial(&mut state, at(10), vec![endpoint("new", "v2", 2, 0)]);
     let pinned: Vec<SessionHash> = (0..SESSIONS).map(|key| session_hash("llm", key)).collect();
     state.bind_sessions(&pinned);
     let mut other = rollout(RolloutStage::Trial, 3);
@@ -221,12 +209,7 @@
 #[test]
 fn outcomes_of_a_roll_out_are_reported_again_after_a_failed_poll() {
     let mut state = state_with_v1_endpoint();
-    let trial = RoutingUpdate {
-        index: 2,
-        rollouts: Some(vec![rollout(RolloutStage::Trial, 2)]),
-        ..RoutingUpdate::default()
-    };
-    state.apply(at(10), at(10), trial);
+    start_trial(&mut state, at(10), Vec::new());
     let (service, version) = (Arc::from("llm"), Arc::from("v1"));
     state.record_arm(&service, &version, "route/model", None);
 
