--- a/review/stand/stand.rs
+++ b/review/stand/stand.rs
@@ -414,7 +414,7 @@
     /// Sends a signal (`KILL`, `STOP`, `CONT`, `TERM`) to the process of a machine, by its id.
     pub fn signal(&self, name: &str, signal: &str) {
         let children = self.children.lock().unwrap();
-        let pid = children[name].id().to_string();
+        let Some(pid) = children.get(name).map(|child| child.id().to_string()) else { return };
         self.record.line(format!("platform: SIG{signal} to {name}"));
         let _ = Command::new("kill").arg(format!("-{signal}")).arg(pid).status();
     }
@@ -426,6 +426,21 @@
         Some(status.to_string())
     }
 
+    /// Resident memory of a machine's process; 0 if it does not run.
+    pub fn memory_mb(&self, name: &str) -> u64 {
+        let children = self.children.lock().unwrap();
+        let Some(child) = children.get(name) else { return 0 };
+        let status = std::fs::read_to_string(format!("/proc/{}/status", child.id())).unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let kilobytes = line.and_then(|line| line.trim().split(' ').next()?.parse::<u64>().ok());
+        kilobytes.unwrap_or(0) / 1024
+    }
+
+    /// Forgets a process that has ended.
+    pub fn forget(&self, name: &str) {
+        self.children.lock().unwrap().remove(name);
+    }
+
     /// Sends a configuration until it is acknowledged.
     pub fn put_config(&self, config: &str) -> bool {
         let answer = control(&self.control, "POST", "/v1/config/put", config, 60);
