--- a/review/stand/stand.rs
+++ b/review/stand/stand.rs
@@ -451,12 +451,24 @@
 
     /// Starts a worker that sends heartbeats.
     pub fn add_worker(self: &Arc<Self>, service: &str, slots: u32, handler: Handler) -> Worker {
+        self.add_versioned(service, "v1", slots, handler).0
+    }
+
+    /// Starts a worker of a version. Its heartbeats end once the returned flag is set.
+    pub fn add_versioned(
+        self: &Arc<Self>,
+        service: &str,
+        version: &str,
+        slots: u32,
+        handler: Handler,
+    ) -> (Worker, Arc<AtomicBool>) {
+        let is_leaving = Arc::new(AtomicBool::new(false));
         let number = self.next_worker.fetch_add(1, Ordering::Relaxed);
         let worker = Worker {
             id: format!("i-{}{number}", service),
             service: service.to_owned(),
             zone: ZONES[number as usize % ZONES.len()].to_owned(),
-            version: "v1".to_owned(),
+            version: version.to_owned(),
             slots,
             address: format!("{}.{}:{}", self.net, 21 + number, self.base + 3).parse().unwrap(),
             born: SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64,
@@ -464,15 +476,16 @@
         serve(worker.clone(), handler, Arc::clone(&self.stop));
         let platform = Arc::clone(self);
         let beating = worker.clone();
+        let ends = Arc::clone(&is_leaving);
         thread::spawn(move || {
             let mut sequence = 0;
-            while !platform.stop.load(Ordering::Relaxed) {
+            while !platform.stop.load(Ordering::Relaxed) && !ends.load(Ordering::Relaxed) {
                 sequence += 1;
                 platform.heartbeat(&beating, sequence, "ready");
                 thread::sleep(ms(1200));
             }
         });
-        worker
+        (worker, is_leaving)
     }
 
     pub fn heartbeat(&self, worker: &Worker, sequence: u64, state: &str) -> u16 {
