--- a/review/stand/stand.rs
+++ b/review/stand/stand.rs
@@ -381,6 +381,11 @@
         };
         let log = File::options().create(true).append(true).open(self.folder.join(format!("{name}.log")));
         let log = log.expect("the log file");
+        // `end` holds this lock until the exit, so that no process starts after it has ended the others.
+        let mut children = self.children.lock().unwrap();
+        if self.stop.load(Ordering::Relaxed) {
+            return;
+        }
         let child = Command::new(program)
             .arg("--settings")
             .arg(&settings)
@@ -393,10 +398,11 @@
         match child {
             Ok(child) => {
                 self.record.line(format!("platform: started {name}"));
-                self.children.lock().unwrap().insert(name.to_owned(), child);
+                children.insert(name.to_owned(), child);
             }
             Err(error) => {
                 self.record.line(format!("platform: cannot start {program}: {error}"));
+                drop(children);
                 self.end(2);
             }
         }
