Refuse a call as not run only with proof; hold an answer while a larger model takes the call

Cause: whether a call may have run was a flag, set by hand where an attempt was lost. Discarding an answer in favour of a larger model did not set it, so the refusal that followed the larger model's rejections promised too much.

Change: `ExecutionRecord` counts an attempt as run from its start until its end proves that it has not. Only a record creates the `NotRunProof` that `CallRefusal::NotRun` contains, so no code path can promise more than is known. A lost attempt still forbids another one for calls that run once; a discarded answer does not. The small model's answer is held for at most 250 ms and relayed if the larger model rejects the call, breaks off, fails or can't be reached.

The flag is gone, so no path has to remember it.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,7 @@
 //! [`state::KeeperState`], through [`consensus`].
 
 pub mod consensus;
+pub mod execution;
 pub mod hash;
 pub mod ids;
 pub mod ledger;
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -9,6 +9,7 @@
 use hyper::body::Incoming;
 use hyper::http::response::Parts;
 
+use chestnutloft_core::execution::AttemptEnd;
 use chestnutloft_core::routing::{CallKind, LostCall};
 use chestnutloft_core::time::TimePoint;
 use chestnutloft_wire::clock;
@@ -43,6 +44,14 @@
 }
 
 impl AttemptFailure {
+    /// Whether the call may have run.
+    pub fn attempt_end(&self) -> AttemptEnd {
+        match self {
+            Self::Unreachable(_) | Self::NotRun { .. } => AttemptEnd::NotRun,
+            Self::Broken(_) | Self::TimedOut(_) => AttemptEnd::Lost,
+        }
+    }
+
     /// The metric label.
     pub fn label(&self) -> &'static str {
         match self {
@@ -62,6 +71,8 @@
     context: Arc<ForwardContext>,
     call_id: String,
     is_logged: bool,
+    /// Whether the response counts as a success of the endpoint already.
+    pub is_success_recorded: bool,
     /// Endpoint of the attempt.
     pub endpoint: ChosenEndpoint,
     /// When the attempt started.
@@ -87,6 +98,7 @@
             context: Arc::clone(context),
             call_id: call.head.id.clone(),
             is_logged: false,
+            is_success_recorded: false,
             endpoint,
             started_at: now,
             pending_ms: Some(work_ms),
--- a/crates/entry/src/forward/codec.rs
+++ b/crates/entry/src/forward/codec.rs
@@ -8,6 +8,7 @@
 use hyper::http::response;
 use hyper::{Response, StatusCode};
 
+use chestnutloft_core::execution::NotRunProof;
 use chestnutloft_wire::http::AnyBody;
 
 /// The model that a call requests.
@@ -141,6 +142,8 @@
     PromptBlocked,
     /// The call has not run; the caller may retry.
     NotRun {
+        /// Why this is certain.
+        proof: NotRunProof,
         /// Why.
         reason: &'static str,
         /// Delay after which to retry.
@@ -179,6 +182,7 @@
             Self::NotRun {
                 reason,
                 retry_after,
+                ..
             } => write!(
                 f,
                 "not run: {reason}; come back in {} ms",
--- a/crates/entry/src/forward/completion.rs
+++ b/crates/entry/src/forward/completion.rs
@@ -40,7 +40,7 @@
     /// The refusal for a call that is not attempted again.
     pub(super) fn final_refusal(&self) -> CallRefusal {
         let now = clock::now();
-        if !self.may_have_run {
+        if self.call.executions.not_run().is_some() {
             return self.refusal(now, "its time is over");
         }
         if self.call.time_left(now) < MIN_ATTEMPT_TIME {
@@ -53,9 +53,9 @@
     /// The refusal for `reason`. It tells the caller that the call has not run only if no attempt
     /// may have run it.
     pub(super) fn refusal(&self, now: TimePoint, reason: &'static str) -> CallRefusal {
-        if self.may_have_run {
+        let Some(proof) = self.call.executions.not_run() else {
             return CallRefusal::Failed(reason);
-        }
+        };
         let reason = if self.failure.is_empty() {
             reason
         } else {
@@ -64,6 +64,7 @@
         let max_delay = (self.call.time_left(now) / 4).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
         let jitter = rand::rng().random_range(0.4..1.0);
         CallRefusal::NotRun {
+            proof,
             reason,
             retry_after: max_delay.mul_f64(jitter),
         }
--- /dev/null
+++ b/crates/entry/src/forward/escalation.rs
@@ -0,0 +1,163 @@
+//! Escalation of a call to a larger model. The smaller model's answer is held until the larger one
+//! has taken the call.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use chestnutloft_core::execution::AttemptEnd;
+use chestnutloft_core::routing::{CallTokens, EscalationCandidate, EscalationPolicy};
+use chestnutloft_core::time::TimePoint;
+use chestnutloft_wire::clock;
+
+use super::attempt::{AttemptFailure, EndpointResponse};
+use super::codec::{CallRefusal, RequestedModel};
+use super::pipeline::CallExecution;
+
+/// Tokens generated for a call that states no limit.
+const DEFAULT_OUTPUT_TOKENS: u32 = 256;
+
+/// Time for which an answer is held. Endpoints reject a call within a round trip, and the smaller
+/// model keeps its place at its endpoint for as long.
+const HOLD_TIME: Duration = Duration::from_millis(250);
+
+/// A response whose body has not been forwarded, in case no larger model takes the call.
+pub struct HeldAnswer {
+    response: EndpointResponse,
+    /// Index of the model that gave it.
+    model_index: usize,
+    expires_at: TimePoint,
+}
+
+impl CallExecution {
+    /// Holds the response and goes on to a larger model if its confidence is low and the pool has
+    /// capacity. Returns the response otherwise.
+    pub(super) fn try_escalate(
+        &mut self,
+        mut response: EndpointResponse,
+    ) -> Option<EndpointResponse> {
+        let now = clock::now();
+        let Some(next) = self.larger_model(now, &response) else {
+            return Some(response);
+        };
+        self.record_success(now, &mut response);
+        response.guard.finish_prefill();
+        self.call.executions.end_attempt(AttemptEnd::Answered);
+        self.context.metrics.record_escalation(&self.call);
+        self.hold_answer(now, response, next);
+        None
+    }
+
+    /// Index of the larger model to ask because of the confidence of `response`; takes a retry from
+    /// the service's budget. `None` if the response is to be forwarded.
+    fn larger_model(&self, now: TimePoint, response: &EndpointResponse) -> Option<usize> {
+        if self.call.head.model != RequestedModel::Any {
+            return None;
+        }
+        let segments = &self.call.shared_segments;
+        if !self.context.state().segments.may_repeat(segments) {
+            return None;
+        }
+        let policy = EscalationPolicy::new(self.context.escalation.clone(), self.model_costs());
+        let pool = self.context.state().pool_load(now, &self.call.service.name);
+        let confidence = response.head.confidence;
+        let candidate = EscalationCandidate {
+            model_index: self.model_index,
+            confidence,
+            tokens: self.tokens(),
+            elapsed: now.since(self.call.received_at),
+            target_latency: self.call.latency_target(),
+        };
+        let next = policy.next_model(&candidate, pool)?;
+        if self.attempts >= self.call.route.max_attempts
+            || !self
+                .context
+                .state()
+                .take_retry(now, &self.call.service.name)
+        {
+            return None;
+        }
+        spdlog::info!(
+            "call {}: confidence {:?} of model index {} is too low, trying model index {next}; pool queueing {} ms, load {:.2}, streams slowed down {:.1} times.",
+            self.call.head.id,
+            confidence,
+            self.model_index,
+            pool.queue_delay.as_millis(),
+            pool.utilization,
+            pool.slowdown
+        );
+        Some(next)
+    }
+
+    /// Cost per 1,000 generated tokens of each of the route's models.
+    fn model_costs(&self) -> Vec<f64> {
+        let rules = &self.call.service.models;
+        let cost = |model: &Arc<str>| {
+            let rule = rules.iter().find(|rule| rule.name == *model);
+            rule.map_or(0.0, |rule| rule.cost)
+        };
+        self.call.route.models.iter().map(cost).collect()
+    }
+
+    /// Size of the call.
+    fn tokens(&self) -> CallTokens {
+        let prompt = self.call.head.prompt.iter();
+        let output = self.call.head.max_output_tokens;
+        CallTokens {
+            prompt: prompt.map(|segment| f64::from(segment.tokens)).sum(),
+            output: f64::from(output.unwrap_or(DEFAULT_OUTPUT_TOKENS)),
+        }
+    }
+
+    /// Holds `response`, the answer of the current model, while the call goes on to the model
+    /// `next`.
+    fn hold_answer(&mut self, now: TimePoint, response: EndpointResponse, next: usize) {
+        self.held_answer = Some(HeldAnswer {
+            response,
+            model_index: self.model_index,
+            expires_at: now + HOLD_TIME,
+        });
+        self.model_index = next;
+        self.tried.clear();
+    }
+
+    /// Discards the held answer, which makes its endpoint cancel the call.
+    pub(super) fn discard_held_answer(&mut self) {
+        if let Some(mut held) = self.held_answer.take() {
+            held.response.guard.mark_logged();
+        }
+    }
+
+    /// Takes the held answer in place of `refusal`, with which the call to the larger model ended.
+    pub(super) fn take_held_answer(&mut self, refusal: &CallRefusal) -> Option<EndpointResponse> {
+        let held = self.held_answer.take()?;
+        spdlog::info!(
+            "call {}: model index {} gave no answer: {refusal}; relaying the answer of model index {} at endpoint {}.",
+            self.call.head.id,
+            self.model_index,
+            held.model_index,
+            held.response.guard.endpoint.id
+        );
+        self.context.metrics.record_kept_answer(&self.call);
+        self.model_index = held.model_index;
+        Some(held.response)
+    }
+}
+
+/// Waits for `sending`, an attempt at a larger model, and discards the answer in `held` once its
+/// time is over.
+pub async fn send_beside_held(
+    sending: impl Future<Output = Result<EndpointResponse, AttemptFailure>>,
+    held: &mut Option<HeldAnswer>,
+) -> Result<EndpointResponse, AttemptFailure> {
+    let Some(answer) = held else {
+        return sending.await;
+    };
+    let time_left = answer.expires_at.since(clock::now());
+    tokio::pin!(sending);
+    if let Ok(outcome) = tokio::time::timeout(time_left, &mut sending).await {
+        return outcome;
+    }
+    answer.response.guard.mark_logged();
+    *held = None;
+    sending.await
+}
--- a/crates/entry/src/forward/inbound.rs
+++ b/crates/entry/src/forward/inbound.rs
@@ -7,6 +7,7 @@
 use hyper::body::Incoming;
 use hyper::http::request::Parts;
 
+use chestnutloft_core::execution::{ExecutionRecord, NotRunProof};
 use chestnutloft_core::hash::key_hash;
 use chestnutloft_core::routing::{KeyLookup, RouteRule, ServiceRule, ServiceShare, WorkspaceRule};
 use chestnutloft_core::time::TimePoint;
@@ -45,6 +46,8 @@
     pub received_at: TimePoint,
     /// When the caller stops waiting.
     pub deadline: TimePoint,
+    /// What is known of whether the call has run.
+    pub executions: ExecutionRecord,
 }
 
 impl InboundCall {
@@ -91,14 +94,16 @@
     let head = (context.codec.read_call)(&parts).map_err(|refusal| (refusal, None))?;
     let id = Some(head.id.clone());
     let refuse = |refusal| (refusal, id.clone());
+    let (executions, not_run) = ExecutionRecord::begin();
     if *context.refusing_calls.borrow() {
         return Err(refuse(CallRefusal::NotRun {
+            proof: not_run,
             reason: "this entry is shutting down",
             retry_after: SHUTDOWN_RETRY_AFTER,
         }));
     }
     wait_for_routes(context, &head).await;
-    let matched = match_route(context, received_at, &head, &parts).map_err(refuse)?;
+    let matched = match_route(context, received_at, &head, &parts, &not_run).map_err(refuse)?;
     let max_bytes = context.state().declaration().limits.body_bytes;
     let body = read_body(body, max_bytes).await.map_err(|error| {
         refuse(match error {
@@ -119,6 +124,7 @@
         workspace,
         received_at,
         deadline: received_at + timeout,
+        executions,
     })
 }
 
@@ -144,12 +150,14 @@
     now: TimePoint,
     head: &CallHead,
     parts: &Parts,
+    not_run: &NotRunProof,
 ) -> Result<MatchedRoute, CallRefusal> {
     let (table, is_current) = {
         let state = context.state();
         (state.table(), state.is_current(now))
     };
     let stale = |reason| CallRefusal::NotRun {
+        proof: not_run.clone(),
         reason,
         retry_after: STALE_RETRY_AFTER,
     };
--- a/crates/entry/src/forward/metrics.rs
+++ b/crates/entry/src/forward/metrics.rs
@@ -24,6 +24,7 @@
     refusals: Counter<u64>,
     attempts: Counter<u64>,
     escalations: Counter<u64>,
+    kept_answers: Counter<u64>,
     resumes: Counter<u64>,
     first_event: Histogram<f64>,
     full_response: Histogram<f64>,
@@ -91,6 +92,10 @@
                 "chestnutloft.climbs",
                 "Answers dropped for a larger model's",
             ),
+            kept_answers: counter(
+                "chestnutloft.kept_answers",
+                "Answers relayed since no larger model took the call",
+            ),
             resumes: counter("chestnutloft.resumes", "Streams that went on elsewhere"),
             first_event: latency("chestnutloft.first_piece", "Time to the first event"),
             full_response: latency("chestnutloft.whole_answer", "Time to the end of the answer"),
@@ -181,6 +186,12 @@
         self.escalations.add(1, &labels);
     }
 
+    /// Counts an answer that was relayed after all, since no larger model took the call.
+    pub fn record_kept_answer(&self, call: &InboundCall) {
+        let labels = [KeyValue::new("service", call.service.name.to_string())];
+        self.kept_answers.add(1, &labels);
+    }
+
     /// Counts a stream that was resumed at another endpoint.
     pub fn record_resume(&self, call: &InboundCall) {
         let labels = [KeyValue::new("service", call.service.name.to_string())];
--- a/crates/entry/src/forward/mod.rs
+++ b/crates/entry/src/forward/mod.rs
@@ -12,6 +12,7 @@
 mod connections;
 pub mod context;
 pub mod daemon;
+mod escalation;
 mod inbound;
 pub mod leader_search;
 mod load_exchange;
--- a/crates/entry/src/forward/pipeline.rs
+++ b/crates/entry/src/forward/pipeline.rs
@@ -9,10 +9,9 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 
+use chestnutloft_core::execution::AttemptEnd;
 use chestnutloft_core::hash::key_hash;
-use chestnutloft_core::routing::{
-    CallKind, CallTokens, EscalationCandidate, EscalationPolicy, ModelLane, SegmentAdmission,
-};
+use chestnutloft_core::routing::{CallKind, ModelLane, SegmentAdmission};
 use chestnutloft_core::time::TimePoint;
 use chestnutloft_wire::clock;
 use chestnutloft_wire::http::{AnyBody, full};
@@ -21,6 +20,7 @@
 use super::choice::{ChosenEndpoint, NoEndpoint, PromptSize, SelectionRequest, prefix_hash};
 use super::codec::{CallRefusal, RequestedModel};
 use super::context::ForwardContext;
+use super::escalation::{HeldAnswer, send_beside_held};
 use super::inbound::{InboundCall, receive_call};
 use super::relay::StreamRelay;
 use super::segments::{TrialGuard, report_end, wait_until_blocked};
@@ -40,8 +40,6 @@
 /// Time added to that multiple, and the lower bound of a stream's timeout: an unnecessary second
 /// attempt costs another endpoint the prefill of the whole prompt.
 const STREAM_TIMEOUT_MARGIN: Duration = Duration::from_millis(700);
-/// Tokens generated for a call that states no limit.
-const DEFAULT_OUTPUT_TOKENS: u32 = 256;
 /// Largest response body that is not relayed as a stream. A failing endpoint may send bytes without
 /// end, which would take up the entry's memory.
 const MAX_BUFFERED_BYTES: usize = 8 * 1024 * 1024;
@@ -101,8 +99,8 @@
     pub(super) lost_attempts: u32,
     /// Whether the last attempt did not reach an endpoint.
     pub(super) is_last_unsent: bool,
-    /// Whether an endpoint may have run the call without a valid response.
-    pub(super) may_have_run: bool,
+    /// Answer of a smaller model, while a larger one has not taken the call.
+    pub(super) held_answer: Option<HeldAnswer>,
     /// Index of the current model in the route's list, smallest first.
     pub model_index: usize,
     /// Reason of the last failed attempt; empty before the first failure.
@@ -121,10 +119,16 @@
     }
 }
 
-/// What to do after a response has been received.
-enum ResponseAction {
+/// What follows an attempt.
+enum CallStep {
+    /// Another attempt.
+    Continue,
+    /// The end of the call, with a complete response.
     Return(Response<AnyBody>),
-    Retry,
+    /// Relaying the stream of an endpoint.
+    Relay(Box<EndpointResponse>),
+    /// The end of the call without a response.
+    End(CallRefusal),
 }
 
 impl CallExecution {
@@ -141,7 +145,7 @@
             unreachable_attempts: 0,
             lost_attempts: 0,
             is_last_unsent: false,
-            may_have_run: false,
+            held_answer: None,
             model_index: 0,
             failure: "",
         }
@@ -159,25 +163,18 @@
         // A server error that is returned if no later attempt yields a better response.
         let mut fallback: Option<Response<AnyBody>> = None;
         loop {
-            let endpoint = match self.choose_endpoint().await {
-                Ok(endpoint) => endpoint,
-                Err(refusal) => return fallback.unwrap_or_else(|| self.refuse(&refusal)),
-            };
-            match self.attempt(endpoint, self.call.head.resume_after).await {
-                Ok(mut response) if self.call.route.kind.is_stream() && is_success(&response) => {
-                    if self.try_escalate(&mut response) {
-                        continue;
-                    }
-                    match StreamRelay::start(self, response).await {
-                        Ok(forwarded_response) => return forwarded_response,
-                        Err(execution) => self = *execution,
-                    }
-                }
-                Ok(response) => match self.buffer_response(response, &mut fallback).await {
-                    ResponseAction::Return(response) => return response,
-                    ResponseAction::Retry => {}
+            let response = match self.next_step(&mut fallback).await {
+                CallStep::Continue => continue,
+                CallStep::Return(response) => return response,
+                CallStep::Relay(response) => *response,
+                CallStep::End(refusal) => match self.take_held_answer(&refusal) {
+                    Some(response) => response,
+                    None => return fallback.unwrap_or_else(|| self.refuse(&refusal)),
                 },
-                Err(failure) => self.apply_failure(&failure),
+            };
+            match StreamRelay::start(self, response).await {
+                Ok(forwarded_response) => return forwarded_response,
+                Err(execution) => self = *execution,
             }
             if !self.acquire_retry() {
                 let refusal = self.final_refusal();
@@ -186,7 +183,41 @@
         }
     }
 
-    /// Chooses an endpoint. If none accepts calls, tries again for a share of the latency target.
+    /// Makes the next attempt.
+    async fn next_step(&mut self, fallback: &mut Option<Response<AnyBody>>) -> CallStep {
+        let endpoint = match self.choose_endpoint().await {
+            Ok(endpoint) => endpoint,
+            Err(refusal) => return CallStep::End(refusal),
+        };
+        match self.attempt(endpoint, self.call.head.resume_after).await {
+            Ok(response) if self.is_answer_stream(&response) => {
+                self.discard_held_answer();
+                let response = self.try_escalate(response);
+                return response.map_or(CallStep::Continue, |response| {
+                    CallStep::Relay(Box::new(response))
+                });
+            }
+            Ok(response) => {
+                if let Some(response) = self.buffer_response(response, fallback).await {
+                    return CallStep::Return(response);
+                }
+            }
+            Err(_) => {}
+        }
+        if self.acquire_retry() {
+            CallStep::Continue
+        } else {
+            CallStep::End(self.final_refusal())
+        }
+    }
+
+    /// Whether `response` is the successful start of a stream.
+    fn is_answer_stream(&self, response: &EndpointResponse) -> bool {
+        self.call.route.kind.is_stream() && response.parts.status.is_success()
+    }
+
+    /// Chooses an endpoint. If none accepts calls, tries again for a share of the latency target,
+    /// unless an answer is held.
     pub async fn choose_endpoint(&mut self) -> Result<ChosenEndpoint, CallRefusal> {
         let started_at = clock::now();
         self.context.load_exchange.refresh(started_at).await;
@@ -200,6 +231,10 @@
                 Err(no_endpoint) => no_endpoint,
             };
             let max_wait = self.call.latency_target().mul_f64(CHOICE_WAIT_SHARE);
+            let max_wait = self
+                .held_answer
+                .as_ref()
+                .map_or(max_wait, |_| Duration::ZERO);
             if now.since(started_at) >= max_wait {
                 return Err(self.refusal(now, no_endpoint.reason()));
             }
@@ -250,7 +285,7 @@
         }
     }
 
-    /// Makes one attempt at `endpoint` and records a failure.
+    /// Makes one attempt at `endpoint`. Records a failure and applies it to the call.
     pub async fn attempt(
         &mut self,
         endpoint: ChosenEndpoint,
@@ -274,6 +309,7 @@
         self.tried.insert(Arc::clone(&endpoint.id));
         self.attempts += 1;
         self.is_last_unsent = false;
+        self.call.executions.start_attempt();
         let model = self.model();
         let sending = send_attempt(
             &self.context,
@@ -283,13 +319,19 @@
             resume_after,
             timeout,
         );
-        let outcome = sending.await;
+        let outcome = send_beside_held(sending, &mut self.held_answer).await;
         if let Err(failure) = &outcome {
-            self.record_attempt_failure(&endpoint, failure);
+            self.fail_attempt(&endpoint, failure);
         }
         outcome
     }
 
+    /// Records the failure of an attempt and applies it to the call.
+    fn fail_attempt(&mut self, endpoint: &ChosenEndpoint, failure: &AttemptFailure) {
+        self.record_attempt_failure(endpoint, failure);
+        self.apply_failure(failure);
+    }
+
     /// Logs and counts a failed attempt and adjusts the state of its endpoint.
     fn record_attempt_failure(&mut self, endpoint: &ChosenEndpoint, failure: &AttemptFailure) {
         let now = clock::now();
@@ -339,9 +381,12 @@
         state.record_arm(&self.call.service.name, &endpoint.version, &arm, None);
     }
 
-    /// Records that an endpoint has responded successfully, or has begun to.
-    pub fn record_success(&self, now: TimePoint, response: &EndpointResponse) {
-        let guard = &response.guard;
+    /// Records once that an endpoint has responded successfully, or has begun to.
+    pub fn record_success(&self, now: TimePoint, response: &mut EndpointResponse) {
+        let guard = &mut response.guard;
+        if std::mem::replace(&mut guard.is_success_recorded, true) {
+            return;
+        }
         let took = now.since(guard.started_at);
         let version = &guard.endpoint.version;
         self.context
@@ -396,105 +441,45 @@
         }
     }
 
-    /// Discards the response in favor of a larger model if its confidence is low and the pool has
-    /// capacity. Returns whether it did.
-    fn try_escalate(&mut self, response: &mut EndpointResponse) -> bool {
-        if self.call.head.model != RequestedModel::Any {
-            return false;
-        }
-        let segments = &self.call.shared_segments;
-        if !self.context.state().segments.may_repeat(segments) {
-            return false;
-        }
-        let now = clock::now();
-        let policy = EscalationPolicy::new(self.context.escalation.clone(), self.model_costs());
-        let pool = self.context.state().pool_load(now, &self.call.service.name);
-        let confidence = response.head.confidence;
-        let candidate = EscalationCandidate {
-            model_index: self.model_index,
-            confidence,
-            tokens: self.tokens(),
-            elapsed: now.since(self.call.received_at),
-            target_latency: self.call.latency_target(),
-        };
-        let next = policy.next_model(&candidate, pool);
-        let Some(next) = next else { return false };
-        if self.attempts >= self.call.route.max_attempts
-            || !self
-                .context
-                .state()
-                .take_retry(now, &self.call.service.name)
-        {
-            return false;
-        }
-        spdlog::info!(
-            "call {}: confidence {:?} of model index {} is too low, trying model index {next}; pool queueing {} ms, load {:.2}, streams slowed down {:.1} times.",
-            self.call.head.id,
-            confidence,
-            self.model_index,
-            pool.queue_delay.as_millis(),
-            pool.utilization,
-            pool.slowdown
-        );
-        self.record_success(now, response);
-        response.guard.mark_logged();
-        self.context.metrics.record_escalation(&self.call);
-        self.model_index = next;
-        self.tried.clear();
-        true
-    }
-
-    /// Cost per 1,000 generated tokens of each of the route's models.
-    fn model_costs(&self) -> Vec<f64> {
-        let rules = &self.call.service.models;
-        let cost = |model: &Arc<str>| {
-            let rule = rules.iter().find(|rule| rule.name == *model);
-            rule.map_or(0.0, |rule| rule.cost)
-        };
-        self.call.route.models.iter().map(cost).collect()
-    }
-
-    /// Size of the call.
-    fn tokens(&self) -> CallTokens {
-        let output = self.call.head.max_output_tokens;
-        CallTokens {
-            prompt: self.prompt().total_tokens(),
-            output: f64::from(output.unwrap_or(DEFAULT_OUTPUT_TOKENS)),
-        }
-    }
-
-    /// Reads the whole body of a response that is not relayed as a stream. A server error to a call
-    /// that may be repeated is stored as the fallback.
+    /// Reads the whole body of a response that is not relayed as a stream. Returns `None` if the
+    /// attempt has failed; a server error is stored as the fallback.
     async fn buffer_response(
         &mut self,
         mut response: EndpointResponse,
         fallback: &mut Option<Response<AnyBody>>,
-    ) -> ResponseAction {
+    ) -> Option<Response<AnyBody>> {
         let timeout = self.response_timeout(clock::now(), Duration::ZERO);
         let endpoint = response.guard.endpoint.clone();
         let body = match tokio::time::timeout(timeout, read_body(&mut response.body)).await {
             Ok(Ok(body)) => body,
             Ok(Err(reason)) => {
-                let failure = AttemptFailure::Broken(reason);
-                self.record_attempt_failure(&endpoint, &failure);
-                self.apply_failure(&failure);
-                return ResponseAction::Retry;
+                self.fail_attempt(&endpoint, &AttemptFailure::Broken(reason));
+                return None;
             }
             Err(_) => {
-                let failure = AttemptFailure::TimedOut(timeout);
-                self.record_attempt_failure(&endpoint, &failure);
-                self.apply_failure(&failure);
-                return ResponseAction::Retry;
+                self.fail_attempt(&endpoint, &AttemptFailure::TimedOut(timeout));
+                return None;
             }
         };
         let now = clock::now();
         let status = response.parts.status;
+        let is_repeatable = self.call.route.kind.is_repeatable();
         let is_server_error = status.is_server_error();
+        // These statuses would tell the caller that the call has not run, although it may have.
+        let implies_not_run = matches!(status.as_u16(), 408 | 421 | 429 | 503);
+        let is_withheld = implies_not_run && !is_repeatable;
+        self.call
+            .executions
+            .end_attempt(if is_server_error || is_withheld {
+                AttemptEnd::Lost
+            } else {
+                AttemptEnd::Answered
+            });
         if is_server_error {
             self.record_failure(now, &endpoint);
         } else {
             self.record_progress(response.guard.started_at);
-            self.record_success(now, &response);
+            self.record_success(now, &mut response);
         }
         self.log_response(now, &response, body.len());
         self.context.metrics.record_full_response(now, &self.call);
@@ -503,26 +488,17 @@
         *forwarded_response.headers_mut() = response.parts.headers.clone();
         (self.context.codec.strip_hop_by_hop)(forwarded_response.headers_mut());
         response.release(now);
-        // These statuses would tell the caller that the call has not run, although it may have.
-        let implies_not_run = matches!(status.as_u16(), 408 | 421 | 429 | 503);
-        if implies_not_run && !self.call.route.kind.is_repeatable() {
-            let refusal = CallRefusal::Failed("the endpoint failed");
-            return ResponseAction::Return(self.refuse(&refusal));
+        if !is_server_error && !is_withheld {
+            return Some(forwarded_response);
         }
-        if is_server_error && self.call.route.kind.is_repeatable() {
-            self.may_have_run = true;
-            self.failure = "the endpoint failed";
+        self.failure = "the endpoint failed";
+        if !is_withheld {
             *fallback = Some(forwarded_response);
-            return ResponseAction::Retry;
         }
-        ResponseAction::Return(forwarded_response)
+        None
     }
 }
 
-fn is_success(response: &EndpointResponse) -> bool {
-    response.parts.status.is_success()
-}
-
 /// Reads a body of at most [`MAX_BUFFERED_BYTES`].
 async fn read_body(body: &mut Incoming) -> Result<Bytes, String> {
     let collected = Limited::new(body, MAX_BUFFERED_BYTES).collect().await;
--- a/crates/entry/src/forward/relay.rs
+++ b/crates/entry/src/forward/relay.rs
@@ -8,6 +8,7 @@
 use hyper::Response;
 use hyper::body::Frame;
 
+use chestnutloft_core::execution::AttemptEnd;
 use chestnutloft_core::routing::{CallKind, ModelLane};
 use chestnutloft_core::time::TimePoint;
 use chestnutloft_wire::clock;
@@ -105,7 +106,6 @@
             StreamRead::End => relay.first_events = Some(Bytes::new()),
             StreamRead::Interrupted(failure) => {
                 relay.drop_response(&failure);
-                relay.execution.apply_failure(&failure);
                 return Err(Box::new(relay.execution));
             }
         }
@@ -319,7 +319,7 @@
         events.freeze()
     }
 
-    /// Closes the connection of an interrupted stream and records the failure.
+    /// Closes the connection of an interrupted stream, records the failure and applies it to the call.
     fn drop_response(&mut self, failure: &AttemptFailure) {
         if let Some(mut response) = self.response.take() {
             response.guard.mark_logged();
@@ -337,6 +337,7 @@
             }
             self.execution.record_failure(clock::now(), &endpoint);
         }
+        self.execution.apply_failure(failure);
         self.splitter = EventSplitter::default();
     }
 
@@ -383,8 +384,10 @@
                 Ok(response) => {
                     let endpoint = response.guard.endpoint.clone();
                     self.execution.record_failure(clock::now(), &endpoint);
+                    let executions = &mut self.execution.call.executions;
+                    executions.end_attempt(AttemptEnd::Lost);
                 }
-                Err(failure) => self.execution.apply_failure(&failure),
+                Err(_) => {}
             }
             next = self.choose_next_endpoint().await;
         }
--- a/crates/entry/src/forward/retries.rs
+++ b/crates/entry/src/forward/retries.rs
@@ -54,6 +54,7 @@
 
     /// Applies a failed attempt to the call: its attempt counts, and whether it may have run.
     pub fn apply_failure(&mut self, failure: &AttemptFailure) {
+        self.call.executions.end_attempt(failure.attempt_end());
         match failure {
             AttemptFailure::Unreachable(_) => {
                 self.attempts -= 1;
@@ -67,11 +68,9 @@
                 self.failure = "the endpoints are full";
             }
             AttemptFailure::Broken(_) => {
-                self.may_have_run = true;
                 self.failure = "the endpoint broke off";
             }
             AttemptFailure::TimedOut(_) => {
-                self.may_have_run = true;
                 self.failure = "the endpoint stayed silent";
             }
         }
@@ -81,8 +80,8 @@
     /// unless the last attempt reached no endpoint and so put no load on the service.
     pub fn acquire_retry(&mut self) -> bool {
         let now = clock::now();
-        let is_safe = !self.may_have_run || self.call.route.kind.is_repeatable();
-        is_safe
+        let is_repeatable = self.call.route.kind.is_repeatable();
+        self.call.executions.allows_attempt(is_repeatable)
             && self.allows_repeat()
             && self.has_attempts_left()
             && self.call.time_left(now) > MIN_ATTEMPT_TIME
