Tell callers of the product's own path the truth about a cascade that was refused

Callers would have seen `"ran": "not_run"` for a request that the cheap version of a cascade had answered, when the strong version was refused; the same after a broken attempt whose successor found no endpoint, and when the task that executes a request ended without a word.

Change: the history of attempts holds an `ExecutionRecord` for all versions of a request, and every refusal of an execution passes one place that asks it. The cheap answer, which is complete, is returned if nothing of the strong one has been sent.

--- a/crates/core/src/pipe/dispatch.rs
+++ b/crates/core/src/pipe/dispatch.rs
@@ -6,6 +6,7 @@
 
 use super::intake::ParsedRequest;
 use super::refusal::RunState;
+use crate::execution::{AttemptEnd, ExecutionRecord};
 use crate::ids::EndpointId;
 use crate::state::{RetryBudget, RetrySettings};
 use crate::time::TimePoint;
@@ -27,10 +28,10 @@
 
 impl AttemptFailure {
     /// Whether the request may have run.
-    pub fn run_state(self) -> RunState {
+    pub fn attempt_end(self) -> AttemptEnd {
         match self {
-            Self::NotSent | Self::Refused => RunState::NotRun,
-            Self::ServerError | Self::Broken | Self::TimedOut => RunState::Unknown,
+            Self::NotSent | Self::Refused => AttemptEnd::NotRun,
+            Self::ServerError | Self::Broken | Self::TimedOut => AttemptEnd::Lost,
         }
     }
 }
@@ -48,7 +49,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct AttemptHistory {
     tried_endpoints: Vec<EndpointId>,
-    run_state: Option<RunState>,
+    executions: ExecutionRecord,
 }
 
 impl AttemptHistory {
@@ -60,11 +61,22 @@
     /// Records the start of an attempt.
     pub fn start(&mut self, endpoint: &EndpointId) {
         self.tried_endpoints.push(endpoint.clone());
+        self.executions.start_attempt();
+    }
+
+    /// Records an attempt that ended with a complete answer.
+    pub fn record_answer(&mut self) {
+        self.executions.end_attempt(AttemptEnd::Answered);
+    }
+
+    /// Begins the attempts at another version, whose endpoints are all untried.
+    pub fn start_version(&mut self) {
+        self.tried_endpoints.clear();
     }
 
     /// Whether the request may have run in any attempt so far.
     pub fn run_state(&self) -> RunState {
-        self.run_state.unwrap_or(RunState::NotRun)
+        self.executions.run_state()
     }
 
     /// Records a failed attempt and decides whether to retry. There is no retry if the request may
@@ -79,11 +91,8 @@
         settings: &RetrySettings,
         rng: &mut impl Rng,
     ) -> RetryDecision {
-        let state = failure.run_state();
-        if state != RunState::NotRun {
-            self.run_state = Some(state);
-        }
-        let is_safe = request.is_idempotent || self.run_state() == RunState::NotRun;
+        self.executions.end_attempt(failure.attempt_end());
+        let is_safe = self.executions.allows_attempt(request.is_idempotent);
         let attempts = u32::try_from(self.tried_endpoints.len()).unwrap_or(u32::MAX);
         if !is_safe || attempts >= settings.max_attempts {
             return RetryDecision::GiveUp(self.run_state());
--- a/crates/entry/src/chat.rs
+++ b/crates/entry/src/chat.rs
@@ -71,10 +71,10 @@
     let execution = ChatExecution::new(context, request, sender);
     tokio::spawn(execution.execute());
     let mut response = match receiver.recv().await {
-        None => refusal_response(&Refusal::not_run(
-            RefusalCode::NoEndpoint,
-            "the request was dropped",
-        )),
+        None => refusal_response(
+            &Refusal::not_run(RefusalCode::EndpointFailed, "the request was dropped")
+                .with_run(RunState::Unknown),
+        ),
         Some(AnswerPart::Failed(refusal)) => refusal_response(&refusal),
         Some(first) if is_streamed => stream_response(first, receiver),
         Some(first) => buffered_response(first, receiver, &request_id).await,
@@ -186,6 +186,7 @@
     request: ChatRequest,
     sender: mpsc::Sender<AnswerPart>,
     record: DecisionRecord,
+    history: AttemptHistory,
     first_sent_at: Option<TimePoint>,
 }
 
@@ -227,12 +228,13 @@
             request,
             sender,
             record,
+            history: AttemptHistory::default(),
             first_sent_at: None,
         }
     }
 
     async fn execute(mut self) {
-        let outcome = self.run().await;
+        let outcome = self.run().await.map_err(|error| self.with_run_state(error));
         self.record.outcome = match &outcome {
             Ok(()) => "answered".to_owned(),
             Err(StepError::CallerDisconnected) => "the caller went away".to_owned(),
@@ -251,6 +253,16 @@
             .record(std::mem::take(&mut self.record));
     }
 
+    /// Makes a refusal state whether any attempt may have run the request.
+    fn with_run_state(&self, error: StepError) -> StepError {
+        match error {
+            StepError::Refused(refusal) if refusal.ran == RunState::NotRun => {
+                StepError::Refused(refusal.with_run(self.history.run_state()))
+            }
+            error => error,
+        }
+    }
+
     async fn run(&mut self) -> Result<(), StepError> {
         let choice = self.choose_arm().await?;
         let mut steps = Vec::new();
@@ -345,8 +357,18 @@
             .version_selector
             .record_cascade(cheap, is_escalated);
         if is_escalated {
-            steps.push(step_usage(cheap, &first.usage));
-            return self.run_version(strong, true).await;
+            match self.run_version(strong, true).await {
+                Err(StepError::Refused(refusal)) if self.first_sent_at.is_none() => {
+                    spdlog::info!(
+                        "cascade: {strong} gave no answer to request {}: {refusal}; returning the answer of {cheap}.",
+                        self.request.request_id
+                    );
+                }
+                outcome => {
+                    steps.push(step_usage(cheap, &first.usage));
+                    return outcome;
+                }
+            }
         }
         for piece in &first.pieces {
             self.send_pieces(piece.clone()).await?;
@@ -370,14 +392,15 @@
         let pool = PoolKey::Version(version.clone());
         let prefix = self.context.router().prefixes.settings().clone();
         let blocks = block_hashes(self.request.prompt.as_bytes(), &prefix);
-        let mut history = AttemptHistory::default();
+        self.history.start_version();
         let mut reassembler = StreamReassembler::default();
         let mut pieces = Vec::new();
         loop {
             let parsed = &self.request.parsed;
-            let mut attempt = attempt::acquire(&self.context, &pool, parsed, &blocks, &mut history)
+            let history = &mut self.history;
+            let mut attempt = attempt::acquire(&self.context, &pool, parsed, &blocks, history)
                 .await
-                .map_err(|refusal| with_run_state(refusal, &pieces))?;
+                .map_err(|refusal| with_pieces(refusal, &pieces))?;
             let endpoint = attempt.choice().endpoint.clone();
             let expected = attempt.choice().expected_ms;
             let outcome = self
@@ -396,11 +419,12 @@
                 Ok(Ok(usage)) => {
                     self.record.attempts.push(describe("answered"));
                     attempt.finish(None);
+                    self.history.record_answer();
                     return Ok(StepAnswer { usage, pieces });
                 }
                 Ok(Err(failure)) => {
                     self.record.attempts.push(describe(&format!("{failure:?}")));
-                    self.handle_failure(&pool, attempt, failure, &mut history, &pieces)
+                    self.handle_failure(&pool, attempt, failure, &pieces)
                         .await?;
                 }
                 Err(CallerDisconnected) => return Err(StepError::CallerDisconnected),
@@ -409,14 +433,14 @@
     }
 
     async fn handle_failure(
-        &self,
+        &mut self,
         pool: &PoolKey,
         attempt: RunningAttempt,
         failure: AttemptFailure,
-        history: &mut AttemptHistory,
         pieces: &[Bytes],
     ) -> Result<(), Refusal> {
         let parsed = &self.request.parsed;
+        let history = &mut self.history;
         match attempt::fail(&self.context, pool, parsed, attempt, failure, history) {
             RetryDecision::Retry(wait) => {
                 tokio::time::sleep(wait).await;
@@ -427,7 +451,7 @@
                     RefusalCode::EndpointFailed,
                     format!("no endpoint finished the answer: {failure:?}"),
                 );
-                Err(with_run_state(refusal.with_run(ran), pieces))
+                Err(with_pieces(refusal.with_run(ran), pieces))
             }
         }
     }
@@ -588,7 +612,7 @@
 
 /// Sets the run state of `refusal` to `ran` if pieces were received, since an endpoint has then run
 /// the request.
-fn with_run_state(refusal: Refusal, pieces: &[Bytes]) -> Refusal {
+fn with_pieces(refusal: Refusal, pieces: &[Bytes]) -> Refusal {
     if pieces.is_empty() {
         refusal
     } else {
--- a/crates/solo/tests/failures.rs
+++ b/crates/solo/tests/failures.rs
@@ -406,3 +406,54 @@
     assert_eq!(service.status, 404);
     fixture.cluster.shut_down().await;
 }
+
+/// Sends requests that a cascade may answer until at least one was escalated; returns the responses to
+/// those that were.
+async fn escalated_responses(fixture: &Fixture) -> Vec<ClientResponse> {
+    let client = SampleClient::default();
+    let entry = fixture.cluster.entries[0].as_ref().expect("runs");
+    let address = fixture.cluster.entry_addresses()[0];
+    let mut sent = 0;
+    eventually(async || {
+        let mut responses = Vec::new();
+        for _ in 0..20 {
+            sent += 1;
+            let prompt = format!("careplan request {sent}");
+            let call = ModelCall {
+                kind: "careplan",
+                prompt: &prompt,
+                ..ModelCall::default()
+            };
+            let response = client.send_model_call(address, &call).await;
+            let record = entry.context().decisions.get(&response.request_id);
+            let record = record.expect("the entry records its decision");
+            if record.arm.starts_with("Cascade") && record.attempts.len() > 1 {
+                responses.push(response);
+            }
+        }
+        (!responses.is_empty()).then_some(responses)
+    })
+    .await
+}
+
+/// Guards against a refusal that says that the request has not run, after the cheap version of a
+/// cascade has answered it and the strong one rejected it.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_cheap_answer_of_a_cascade_is_returned_if_the_strong_version_rejects_the_request() {
+    let fixture = start(1, 1).await;
+    escalated_responses(&fixture).await;
+
+    for endpoint in &fixture.cluster.engines {
+        endpoint.engine.update_behaviour(|behaviour| {
+            let versions = behaviour.quality.keys().cloned();
+            let strong = versions.filter(|version| !version.as_str().starts_with("swift"));
+            behaviour.refused_versions = strong.collect();
+        });
+    }
+    let responses = escalated_responses(&fixture).await;
+
+    for response in responses {
+        assert!(response.is_complete, "{response:?}");
+        assert!(response.version.starts_with("swift"), "{response:?}");
+    }
+}
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -50,6 +50,8 @@
     pub cut_after: Option<u64>,
     /// Rejects every request with status 503 and `x-not-run: true`.
     pub is_refusing: bool,
+    /// Rejects requests for these versions in the same way.
+    pub refused_versions: BTreeSet<VersionId>,
 }
 
 impl Default for EngineBehaviour {
@@ -65,6 +67,7 @@
             cold_limit: 2,
             cut_after: None,
             is_refusing: false,
+            refused_versions: BTreeSet::new(),
         }
     }
 }
@@ -279,7 +282,8 @@
     let prompt = call["messages"].to_string();
     let (script, running) = {
         let mut engine = lock(&state);
-        if engine.behaviour.is_refusing {
+        let behaviour = &engine.behaviour;
+        if behaviour.is_refusing || behaviour.refused_versions.contains(&version) {
             return not_run_response(503, "refusing");
         }
         let Some(quality) = engine.behaviour.quality.get(&version).copied() else {
