Bound the memory of all bodies that an entry holds

That it was the users' case is likely, not shown; they kept no logs.

Cause: the size of one body was limited, the sum of all bodies in flight was not; collecting a body from its parts held it twice.

A body waits for its memory before it is read, then is refused as not run. The reservation lives as long as the bytes.

--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -1,6 +1,7 @@
 //! Routing state replicated by the keepers (routes, services, workspaces, endpoints, roll-outs)
 //! and the per-call decisions that entries make from it.
 
+mod body_memory;
 mod budgets;
 mod canary;
 mod declaration;
@@ -20,6 +21,7 @@
 mod state;
 mod table;
 
+pub use body_memory::{BodyDirection, BodyMemory, BodyPool, MAX_SMALL_BODY_BYTES};
 pub use budgets::{EndpointRateLimiter, RateShare, ServiceRetryBudget, ServiceRetrySettings};
 pub use canary::{ArmCount, ArmKey, CanaryAnalysis, CanaryThresholds, VersionVerdict};
 pub use declaration::{
--- a/crates/core/tests/routing/main.rs
+++ b/crates/core/tests/routing/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the replicated routing state and of the decisions that entries make from it.
 
+mod body_memory;
 mod budgets;
 mod canary;
 mod declaration;
--- a/crates/entry/src/forward/context.rs
+++ b/crates/entry/src/forward/context.rs
@@ -5,6 +5,7 @@
 use chestnutloft_core::routing::EscalationSettings;
 use tokio::sync::{Notify, watch};
 
+use super::body_memory::BodyMemoryPools;
 use super::codec::EntryCodec;
 use super::connections::ConnectionPool;
 use super::load_exchange::LoadExchange;
@@ -22,6 +23,8 @@
     pub escalation: EscalationSettings,
     /// Metric instruments.
     pub metrics: ForwardMetrics,
+    /// Memory for bodies.
+    pub bodies: BodyMemoryPools,
     /// Idle connections to endpoints.
     pub connections: ConnectionPool,
     /// Exchange of pending work per endpoint with the other entries.
@@ -53,6 +56,7 @@
             codec,
             escalation: settings.ladder.clone(),
             metrics: ForwardMetrics::default(),
+            bodies: BodyMemoryPools::new(settings.memory_bytes()),
             connections: ConnectionPool::default(),
             load_exchange: LoadExchange::default(),
             shutting_down,
--- a/crates/entry/src/forward/inbound.rs
+++ b/crates/entry/src/forward/inbound.rs
@@ -6,14 +6,17 @@
 use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::http::request::Parts;
+use rand::Rng;
 
 use chestnutloft_core::execution::{ExecutionRecord, NotRunProof};
 use chestnutloft_core::hash::key_hash;
-use chestnutloft_core::routing::{KeyLookup, RouteRule, ServiceRule, ServiceShare, WorkspaceRule};
+use chestnutloft_core::routing::{
+    BodyDirection, KeyLookup, RouteRule, ServiceRule, ServiceShare, WorkspaceRule,
+};
 use chestnutloft_core::time::TimePoint;
 use chestnutloft_wire::clock;
-use chestnutloft_wire::http::{ReadError, read_body};
 
+use super::body_memory::BodyReadError;
 use super::codec::{CallHead, CallRefusal, PromptSegment};
 use super::context::ForwardContext;
 
@@ -23,6 +26,12 @@
 const MAX_STARTUP_WAIT: Duration = Duration::from_millis(2_500);
 /// Retry-after time of calls refused because the entry is shutting down.
 const SHUTDOWN_RETRY_AFTER: Duration = Duration::from_millis(200);
+/// Share of a call's timeout for which its body waits for memory.
+const MEMORY_WAIT_SHARE: f64 = 0.25;
+/// Upper bound of that wait: callers give up a call that is not read within a second.
+const MAX_MEMORY_WAIT: Duration = Duration::from_millis(750);
+/// Retry-after time of calls refused because other bodies take the memory.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(600);
 /// Retry-after time of calls refused because the entry's routing state is missing or out of date.
 const STALE_RETRY_AFTER: Duration = Duration::from_millis(400);
 
@@ -88,7 +97,15 @@
 pub async fn receive_call(
     context: &ForwardContext,
     parts: Parts,
-    body: Incoming,
+    mut body: Incoming,
+) -> Result<InboundCall, (CallRefusal, Option<String>)> {
+    read_call(context, parts, &mut body).await
+}
+
+async fn read_call(
+    context: &ForwardContext,
+    parts: Parts,
+    body: &mut Incoming,
 ) -> Result<InboundCall, (CallRefusal, Option<String>)> {
     let received_at = clock::now();
     let head = (context.codec.read_call)(&parts).map_err(|refusal| (refusal, None))?;
@@ -103,17 +120,12 @@
         }));
     }
     wait_for_routes(context, &head).await;
-    let matched = match_route(context, received_at, &head, &parts, &not_run).map_err(refuse)?;
-    let max_bytes = context.state().declaration().limits.body_bytes;
-    let body = read_body(body, max_bytes).await.map_err(|error| {
-        refuse(match error {
-            ReadError::TooLarge => CallRefusal::BodyTooLarge,
-            ReadError::Cut(_) => CallRefusal::Malformed("the body is cut"),
-        })
-    })?;
-    let (route, service, workspace) = matched;
+    let (route, service, workspace) =
+        match_route(context, received_at, &head, &parts, &not_run).map_err(refuse)?;
     let route_timeout = Duration::from_millis(route.timeout_ms);
     let timeout = head.timeout.unwrap_or(route_timeout).min(route_timeout);
+    let body = receive_body(context, body, timeout, not_run).await;
+    let body = body.map_err(refuse)?;
     Ok(InboundCall {
         shared_segments: shared_segments(&head.prompt),
         head,
@@ -128,6 +140,41 @@
     })
 }
 
+/// Reads the body of a call that has `timeout` left.
+async fn receive_body(
+    context: &ForwardContext,
+    body: &mut Incoming,
+    timeout: Duration,
+    not_run: NotRunProof,
+) -> Result<Bytes, CallRefusal> {
+    let max_bytes = context.state().declaration().limits.body_bytes;
+    let max_wait = timeout.mul_f64(MEMORY_WAIT_SHARE).min(MAX_MEMORY_WAIT);
+    let reading = context
+        .bodies
+        .read(BodyDirection::Request, body, max_bytes, max_wait);
+    let refuse = |reason, retry_after: Duration| {
+        let jitter = rand::rng().random_range(0.5..1.5);
+        CallRefusal::NotRun {
+            proof: not_run,
+            reason,
+            retry_after: retry_after.mul_f64(jitter),
+        }
+    };
+    match tokio::time::timeout(timeout, reading).await {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(BodyReadError::TooLarge)) => Err(CallRefusal::BodyTooLarge),
+        Ok(Err(BodyReadError::Cut(_))) => Err(CallRefusal::Malformed("the body is cut")),
+        Ok(Err(BodyReadError::NoMemory)) => Err(refuse(
+            "the bodies of other calls take the memory",
+            MEMORY_RETRY_AFTER,
+        )),
+        Err(_) => Err(refuse(
+            "the body did not arrive within the call's time",
+            MEMORY_RETRY_AFTER,
+        )),
+    }
+}
+
 /// Waits for the first routes. An entry that has just started receives them from the keepers within
 /// a second or two, so a delayed response serves the caller better than a refusal.
 async fn wait_for_routes(context: &ForwardContext, head: &CallHead) {
--- a/crates/entry/src/forward/metrics.rs
+++ b/crates/entry/src/forward/metrics.rs
@@ -36,6 +36,7 @@
     waiting_work: Gauge<f64>,
     blocked_segments: Gauge<u64>,
     limited_endpoints: Gauge<u64>,
+    body_memory: Gauge<u64>,
 }
 
 /// Values of the gauges.
@@ -57,6 +58,8 @@
     pub blocked_segments: usize,
     /// Number of endpoints that have named a limit.
     pub limited_endpoints: usize,
+    /// Memory reserved for bodies, in bytes.
+    pub body_bytes: usize,
 }
 
 impl Default for ForwardMetrics {
@@ -119,6 +122,7 @@
                 "chestnutloft.endpoints.limited",
                 "Endpoints that have named a call rate",
             ),
+            body_memory: gauge("chestnutloft.body_memory", "Bytes reserved for bodies"),
             page,
         }
     }
@@ -213,6 +217,7 @@
             .record(gauges.blocked_segments as u64, &[]);
         self.limited_endpoints
             .record(gauges.limited_endpoints as u64, &[]);
+        self.body_memory.record(gauges.body_bytes as u64, &[]);
         self.page.text()
     }
 }
@@ -243,6 +248,7 @@
                 .sum(),
             blocked_segments: self.segments.blocked_count(),
             limited_endpoints: self.stated_limits.count(),
+            body_bytes: 0,
         }
     }
 }
--- a/crates/entry/src/forward/mod.rs
+++ b/crates/entry/src/forward/mod.rs
@@ -6,6 +6,7 @@
 //! forwards a streamed response. The wire format is defined by a [`codec`].
 
 mod attempt;
+mod body_memory;
 pub mod choice;
 pub mod codec;
 mod completion;
--- a/crates/entry/src/forward/pipeline.rs
+++ b/crates/entry/src/forward/pipeline.rs
@@ -4,14 +4,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 
 use chestnutloft_core::execution::AttemptEnd;
 use chestnutloft_core::hash::key_hash;
-use chestnutloft_core::routing::{CallKind, ModelLane, SegmentAdmission};
+use chestnutloft_core::routing::{BodyDirection, CallKind, ModelLane, SegmentAdmission};
 use chestnutloft_core::time::TimePoint;
 use chestnutloft_wire::clock;
 use chestnutloft_wire::http::{AnyBody, full};
@@ -450,10 +448,17 @@
     ) -> Option<Response<AnyBody>> {
         let timeout = self.response_timeout(clock::now(), Duration::ZERO);
         let endpoint = response.guard.endpoint.clone();
-        let body = match tokio::time::timeout(timeout, read_body(&mut response.body)).await {
+        let reading = self.context.bodies.read(
+            BodyDirection::Response,
+            &mut response.body,
+            MAX_BUFFERED_BYTES,
+            timeout,
+        );
+        let body = match tokio::time::timeout(timeout, reading).await {
             Ok(Ok(body)) => body,
-            Ok(Err(reason)) => {
-                self.fail_attempt(&endpoint, &AttemptFailure::Broken(reason));
+            Ok(Err(error)) => {
+                let failure = AttemptFailure::Broken(format!("{error:?}"));
+                self.fail_attempt(&endpoint, &failure);
                 return None;
             }
             Err(_) => {
@@ -498,11 +503,3 @@
         None
     }
 }
-
-/// Reads a body of at most [`MAX_BUFFERED_BYTES`].
-async fn read_body(body: &mut Incoming) -> Result<Bytes, String> {
-    let collected = Limited::new(body, MAX_BUFFERED_BYTES).collect().await;
-    collected
-        .map(http_body_util::Collected::to_bytes)
-        .map_err(|error| error.to_string())
-}
--- a/crates/entry/src/forward/server.rs
+++ b/crates/entry/src/forward/server.rs
@@ -17,6 +17,7 @@
 
 use super::codec::empty_response;
 use super::context::ForwardContext;
+use super::metrics::GaugeValues;
 use super::pipeline::handle_call;
 
 /// Delay after a failed accept, which mostly means that file descriptors have run out.
@@ -117,7 +118,10 @@
     if path != METRICS_PATH {
         return empty_response(StatusCode::NOT_FOUND);
     }
-    let gauges = context.state().gauge_values(clock::now());
+    let gauges = GaugeValues {
+        body_bytes: context.bodies.reserved_bytes(),
+        ..context.state().gauge_values(clock::now())
+    };
     Response::new(full(context.metrics.render(&gauges)))
 }
 
--- a/crates/entry/src/forward/settings.rs
+++ b/crates/entry/src/forward/settings.rs
@@ -71,6 +71,8 @@
     pub cluster_secret: String,
     /// Log level.
     pub log_level: String,
+    /// Memory that the process may use, in MB; a command-line flag may override it.
+    pub memory_mb: usize,
     /// Limits that apply across all entries of the cluster.
     pub limits: SharedLimits,
     /// Weights of the endpoint choice.
@@ -94,6 +96,7 @@
             seeds: vec![loopback(7601)],
             cluster_secret: String::new(),
             log_level: "info".to_owned(),
+            memory_mb: 128,
             limits: SharedLimits::default(),
             placement: PlacementSettings::default(),
             pressure: QueueDelaySettings::default(),
@@ -102,7 +105,15 @@
     }
 }
 
+/// Smallest memory with which an entry can hold the bodies of some calls.
+const MIN_MEMORY_MB: usize = 32;
+
 impl ForwardSettings {
+    /// Memory that the process may use, in bytes.
+    pub fn memory_bytes(&self) -> usize {
+        self.memory_mb.saturating_mul(1024 * 1024)
+    }
+
     /// Checks value ranges.
     pub fn check(&self) -> Vec<SettingsFinding> {
         let mut findings = Vec::new();
@@ -118,6 +129,11 @@
             "seeds",
             "must name at least one keeper",
         );
+        expect(
+            self.memory_mb >= MIN_MEMORY_MB,
+            "memory_mb",
+            "must be at least 32",
+        );
         expect(
             self.limits.repeat_ratio >= 0.0,
             "limits.repeat_ratio",
