Discard the rest of a refused call's body, so that the refusal arrives

Callers saw: a broken connection in place of a refusal, when a call was refused by its head while they were still sending its body.

Cause: the entry closed the connection with unread bytes, which resets it; the reset overtakes the answer.

Change: the rest of the body is read and discarded for up to 2 s beside the response.

Evidence: `refusal_reaches_a_caller_that_is_still_sending` failed before at its first call ("Broken pipe") and passes.

--- a/crates/entry/src/forward/body_memory.rs
+++ b/crates/entry/src/forward/body_memory.rs
@@ -12,6 +12,10 @@
 
 /// Bytes per permit of a pool.
 const PERMIT_BYTES: usize = 1024;
+/// Time for which the rest of a refused request's body is read and discarded. A connection that is
+/// closed with unread bytes is reset, which may overtake the refusal.
+const MAX_DISCARD_TIME: Duration = Duration::from_secs(2);
+
 /// Why a body was not read.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum BodyReadError {
@@ -142,3 +146,12 @@
         drop(reservation.split(excess));
     }
 }
+
+/// Reads and discards the rest of a refused request's body in the background.
+pub fn discard_rest(mut body: Incoming) {
+    if body.is_end_stream() {
+        return;
+    }
+    let discarding = async move { while let Some(Ok(_)) = body.frame().await {} };
+    tokio::spawn(tokio::time::timeout(MAX_DISCARD_TIME, discarding));
+}
--- a/crates/entry/src/forward/inbound.rs
+++ b/crates/entry/src/forward/inbound.rs
@@ -16,7 +16,7 @@
 use chestnutloft_core::time::TimePoint;
 use chestnutloft_wire::clock;
 
-use super::body_memory::BodyReadError;
+use super::body_memory::{BodyReadError, discard_rest};
 use super::codec::{CallHead, CallRefusal, PromptSegment};
 use super::context::ForwardContext;
 
@@ -89,7 +89,8 @@
     shared.map(|segment| segment.id).collect()
 }
 
-/// Reads a call with its body and matches it to a route.
+/// Reads a call with its body and matches it to a route. The rest of a refused call's body is
+/// discarded.
 ///
 /// # Errors
 /// [`CallRefusal`] when it cannot be served, with the call's id if it has one. No endpoint has run
@@ -99,7 +100,11 @@
     parts: Parts,
     mut body: Incoming,
 ) -> Result<InboundCall, (CallRefusal, Option<String>)> {
-    read_call(context, parts, &mut body).await
+    let call = read_call(context, parts, &mut body).await;
+    if call.is_err() {
+        discard_rest(body);
+    }
+    call
 }
 
 async fn read_call(
