Try an address that is in use again instead of ending the process; install signal handlers first

An entry whose metrics address was in use ended with status 1, at each start; so did every process for each of its listeners. SIGHUP during the start ended it, too.

Cause: one failed bind was final, also for a page that the process can do without.

`ProcessSignals` is installed before anything else; SIGTERM ends a start that waits.

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -17,7 +17,7 @@
 use chestnutloft_wire::message::{CreditCall, ExchangeCall};
 use chestnutloft_wire::rpc::{self, CallAnswer, CallHandler, Method, Status};
 use chestnutloft_wire::rpc_client::RpcClient;
-use chestnutloft_wire::{clock, http};
+use chestnutloft_wire::{clock, http, listen};
 
 use crate::context::{ContextParts, EntryContext};
 use crate::keeper_client::KeeperClient;
@@ -83,9 +83,12 @@
     ) -> Result<Self, StartError> {
         let io_error = |component| move |error| StartError::Io(component, error);
         let entry: EntryId = settings.entry.clone().ok_or(StartError::MissingEntryName)?;
-        let rpc_listener = std::net::TcpListener::bind(settings.rpc).map_err(io_error("rpc"))?;
+        let rpc_listener = listen::bind("RPC", settings.rpc).await;
+        let rpc_listener = rpc_listener
+            .and_then(TcpListener::into_std)
+            .map_err(io_error("rpc"))?;
         let rpc_address = rpc_listener.local_addr().map_err(io_error("rpc"))?;
-        let listener = TcpListener::bind(settings.http)
+        let listener = listen::bind("callers and operators", settings.http)
             .await
             .map_err(io_error("http"))?;
         let http_address = listener.local_addr().map_err(io_error("http"))?;
--- a/crates/entry/src/forward/daemon.rs
+++ b/crates/entry/src/forward/daemon.rs
@@ -12,7 +12,7 @@
 use chestnutloft_wire::auth::cluster_proof;
 use chestnutloft_wire::rpc_client::RpcClient;
 use chestnutloft_wire::settings::SeedReader;
-use chestnutloft_wire::{clock, logs};
+use chestnutloft_wire::{clock, listen, logs};
 
 use super::codec::EntryCodec;
 use super::context::ForwardContext;
@@ -56,7 +56,7 @@
     pub context: Arc<ForwardContext>,
     /// Bound address for callers.
     pub caller_address: SocketAddr,
-    /// Bound address of the metrics page, if one is served.
+    /// Address of the metrics page, if one is served and could be bound at once.
     pub metrics_address: Option<SocketAddr>,
     /// Bound address of the readiness check.
     pub readiness_address: SocketAddr,
@@ -78,12 +78,13 @@
         codec: EntryCodec,
         seeds: SeedReader,
     ) -> Result<Self, StartError> {
-        let caller_listener = TcpListener::bind(settings.callers)
+        let bind_error = |error| StartError::Io("no listener", error);
+        let caller_listener = listen::bind("callers", settings.callers)
             .await
-            .map_err(|error| StartError::Io("cannot bind the caller address", error))?;
-        let readiness_listener = TcpListener::bind(settings.readiness)
+            .map_err(bind_error)?;
+        let readiness_listener = listen::bind("the readiness check", settings.readiness)
             .await
-            .map_err(|error| StartError::Io("cannot bind the readiness address", error))?;
+            .map_err(bind_error)?;
         let address_of = |listener: &TcpListener| {
             let address = listener.local_addr();
             address.map_err(|error| StartError::Io("cannot read a listener's address", error))
@@ -110,11 +111,7 @@
             readiness_listener,
             server::readiness,
         ));
-        let metrics_listener = bind_metrics(settings.metrics).await?;
-        let metrics_address = metrics_listener.as_ref().map(address_of).transpose()?;
-        if let Some(listener) = metrics_listener {
-            tokio::spawn(serve_status(Arc::clone(&context), listener, metrics_page));
-        }
+        let metrics_address = serve_metrics(&context, settings.metrics).await;
         tokio::spawn(serve_callers(
             Arc::clone(&context),
             caller_listener,
@@ -171,14 +168,13 @@
     }
 }
 
-async fn bind_metrics(address: Option<SocketAddr>) -> Result<Option<TcpListener>, StartError> {
-    let Some(address) = address else {
-        return Ok(None);
-    };
-    let listener = TcpListener::bind(address).await;
-    listener
-        .map(Some)
-        .map_err(|error| StartError::Io("cannot bind the metrics address", error))
+async fn serve_metrics(
+    context: &Arc<ForwardContext>,
+    address: Option<SocketAddr>,
+) -> Option<SocketAddr> {
+    let context = Arc::clone(context);
+    let serve = move |listener| serve_status(context, listener, metrics_page);
+    listen::serve_optional("the metrics page", address?, serve).await
 }
 
 async fn sweep_connections(context: Arc<ForwardContext>) {
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -4,7 +4,8 @@
 
 use chestnutloft_entry::daemon::EntryDaemon;
 use chestnutloft_entry::settings::EntrySettings;
-use chestnutloft_wire::{process, shutdown};
+use chestnutloft_wire::process;
+use chestnutloft_wire::shutdown::ProcessSignals;
 
 mod flags {
     use std::path::PathBuf;
@@ -44,10 +45,12 @@
         .build()
         .map_err(|error| error.to_string())?;
     runtime.block_on(async {
-        let entry = EntryDaemon::start(settings)
-            .await
-            .map_err(|error| error.to_string())?;
-        shutdown::requested().await;
+        let mut signals = ProcessSignals::install().map_err(|error| error.to_string())?;
+        let entry = tokio::select! {
+            started = EntryDaemon::start(settings) => started.map_err(|error| error.to_string())?,
+            () = signals.shutdown_requested() => return Ok(()),
+        };
+        signals.shutdown_requested().await;
         spdlog::info!("entry: shutting down.");
         entry.shut_down().await;
         Ok(())
--- a/crates/keeper/src/daemon.rs
+++ b/crates/keeper/src/daemon.rs
@@ -22,7 +22,7 @@
 use chestnutloft_wire::rpc::{self, CallAnswer, CallHandler, Method, Status};
 use chestnutloft_wire::rpc_client::RpcClient;
 use chestnutloft_wire::settings::SeedReader;
-use chestnutloft_wire::{clock, http, logs};
+use chestnutloft_wire::{clock, http, listen, logs};
 
 use crate::actor::{MembershipView, ReplicaActor, ReplicaArguments, ReplicaMessage};
 use crate::control::{ControlCodec, ControlService};
@@ -96,7 +96,7 @@
     /// # Errors
     /// [`StartError`] if the folder is corrupt or an address cannot be bound.
     pub async fn start(settings: KeeperSettings) -> Result<Self, StartError> {
-        let listener = bind_rpc(&settings)?;
+        let listener = bind_rpc(&settings).await?;
         Self::start_on(settings, listener).await
     }
 
@@ -171,7 +171,7 @@
         let (stop, stopped) = watch::channel(false);
         let handler = rpc_handler(replica.clone());
         let rpc = rpc::serve(listener, proof, handler, stopped.clone()).map_err(io_at("rpc"))?;
-        let listener = TcpListener::bind(settings.http)
+        let listener = listen::bind("operators and endpoints", settings.http)
             .await
             .map_err(io_at("http"))?;
         let http = listener.local_addr().map_err(io_at("http"))?;
@@ -181,11 +181,11 @@
             metrics: KeeperMetrics::default(),
         };
         if let Some(address) = settings.metrics {
-            let listener = TcpListener::bind(address).await.map_err(io_at("metrics"))?;
             let api = operators.clone();
             let service = move |request| api.clone().answer_metrics(request);
             let stopped = stopped.clone();
-            tokio::spawn(http::serve(listener, stopped, SHUTDOWN_TIMEOUT, service));
+            let serve = move |listener| http::serve(listener, stopped, SHUTDOWN_TIMEOUT, service);
+            listen::serve_optional("the metrics page", address, serve).await;
         }
         let http_server = if let Some((codec, seeds)) = joining {
             tokio::spawn(request_membership(
@@ -252,8 +252,10 @@
 ///
 /// # Errors
 /// [`StartError::Io`] if the address cannot be bound.
-pub fn bind_rpc(settings: &KeeperSettings) -> Result<std::net::TcpListener, StartError> {
-    std::net::TcpListener::bind(settings.rpc)
+pub async fn bind_rpc(settings: &KeeperSettings) -> Result<std::net::TcpListener, StartError> {
+    let listener = listen::bind("RPC", settings.rpc).await;
+    listener
+        .and_then(TcpListener::into_std)
         .map_err(|error| StartError::Io("rpc".to_owned(), error))
 }
 
--- a/crates/keeper/src/main.rs
+++ b/crates/keeper/src/main.rs
@@ -4,7 +4,8 @@
 
 use chestnutloft_keeper::daemon::{self, KeeperDaemon};
 use chestnutloft_keeper::settings::KeeperSettings;
-use chestnutloft_wire::{process, shutdown};
+use chestnutloft_wire::process;
+use chestnutloft_wire::shutdown::ProcessSignals;
 
 mod flags {
     use std::path::PathBuf;
@@ -49,11 +50,13 @@
         .build()
         .map_err(|error| error.to_string())?;
     runtime.block_on(async {
-        let mut keeper = KeeperDaemon::start(settings)
-            .await
-            .map_err(|error| error.to_string())?;
+        let mut signals = ProcessSignals::install().map_err(|error| error.to_string())?;
+        let mut keeper = tokio::select! {
+            started = KeeperDaemon::start(settings) => started.map_err(|error| error.to_string())?,
+            () = signals.shutdown_requested() => return Ok(()),
+        };
         tokio::select! {
-            () = shutdown::requested() => {
+            () = signals.shutdown_requested() => {
                 spdlog::info!("keeper: shutting down.");
                 keeper.shut_down().await;
                 Ok(())
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod auth;
 pub mod clock;
 pub mod http;
+pub mod listen;
 pub mod logs;
 pub mod message;
 pub mod metrics;
--- a/crates/wire/src/shutdown.rs
+++ b/crates/wire/src/shutdown.rs
@@ -1,35 +1,51 @@
 //! Signals that request shutdown or a reload of the settings.
 
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 
-/// Waits for SIGTERM or SIGINT.
-pub async fn requested() {
-    let terminate = signal(SignalKind::terminate());
-    let interrupt = signal(SignalKind::interrupt());
-    match (terminate, interrupt) {
-        (Ok(mut terminate), Ok(mut interrupt)) => {
+/// Signals that the process handles. Install them before anything else: without a handler, each of
+/// them ends the process.
+#[derive(Debug)]
+pub struct ProcessSignals {
+    terminate: Signal,
+    interrupt: Signal,
+    hangup: Signal,
+}
+
+impl ProcessSignals {
+    /// Installs the handlers.
+    ///
+    /// # Errors
+    /// The I/O error when a handler cannot be installed.
+    pub fn install() -> std::io::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            hangup: signal(SignalKind::hangup())?,
+        })
+    }
+
+    /// Waits for SIGTERM or SIGINT. SIGHUP has no effect, since settings that may change are read
+    /// when they are needed.
+    pub async fn shutdown_requested(&mut self) {
+        loop {
             tokio::select! {
-                _ = terminate.recv() => {}
-                _ = interrupt.recv() => {}
+                _ = self.terminate.recv() => return,
+                _ = self.interrupt.recv() => return,
+                _ = self.hangup.recv() => {
+                    spdlog::info!("settings: nothing to reload; what may change is read when it is needed.");
+                }
             }
         }
-        _ => std::future::pending().await,
     }
 }
 
-/// Calls `reload` on each SIGHUP, which without a handler would terminate the process. Never
-/// returns.
-pub async fn on_reload(reload: impl Fn()) {
-    match signal(SignalKind::hangup()) {
-        Ok(mut hangup) => {
-            while hangup.recv().await.is_some() {
-                reload();
-            }
+/// Waits for SIGTERM or SIGINT, for programs whose start is short.
+pub async fn requested() {
+    match ProcessSignals::install() {
+        Ok(mut signals) => signals.shutdown_requested().await,
+        Err(error) => {
+            spdlog::error!("process: cannot handle signals, which will end it at once: {error}.");
+            std::future::pending::<()>().await;
         }
-        Err(error) => spdlog::error!(
-            "settings: could not install the SIGHUP handler; SIGHUP will terminate the process: \
-             {error}."
-        ),
     }
-    std::future::pending::<()>().await;
 }
