Close a caller's connection during shutdown only after it was idle, and announce it

Cause: a connection was closed as soon as its response had ended, although the head of that response had not announced it.

Change: from SIGTERM on responses carry `Connection: close`; a connection is closed after 500 ms without a call, and calls within that time are answered or refused as not run. The listener closes when calls are refused, so that callers go elsewhere at once; it stayed open until the end of the process before.

Evidence: both new tests of `shutdown` failed before and pass.

--- a/crates/entry/src/forward/daemon.rs
+++ b/crates/entry/src/forward/daemon.rs
@@ -8,6 +8,7 @@
 
 use tokio::net::TcpListener;
 use tokio::sync::watch;
+use tokio::task::JoinHandle;
 
 use chestnutloft_wire::auth::cluster_proof;
 use chestnutloft_wire::rpc_client::RpcClient;
@@ -61,6 +62,8 @@
     /// Bound address of the readiness check.
     pub readiness_address: SocketAddr,
     shutdown_time: Duration,
+    /// Accepts caller connections.
+    accepting: JoinHandle<()>,
     open_connections: ConnectionCount,
     shutting_down: watch::Sender<bool>,
     draining: watch::Sender<bool>,
@@ -112,7 +115,7 @@
             server::readiness,
         ));
         let metrics_address = serve_metrics(&context, settings.metrics).await;
-        tokio::spawn(serve_callers(
+        let accepting = tokio::spawn(serve_callers(
             Arc::clone(&context),
             caller_listener,
             Arc::clone(&open_connections),
@@ -137,6 +140,7 @@
             readiness_address,
             metrics_address,
             shutdown_time: settings.limits.shutdown,
+            accepting,
             open_connections,
             shutting_down,
             draining,
@@ -145,7 +149,7 @@
     }
 
     /// Shuts the entry down without interrupting calls: it first reports itself as not ready,
-    /// then closes connections as they become idle, then refuses new calls and waits for the
+    /// then closes idle connections, then takes no connection and no call any more and waits for the
     /// running ones until the shutdown time is nearly over.
     pub async fn shut_down(self) {
         let started_at = clock::now();
@@ -155,6 +159,7 @@
         let drain_time = self.shutdown_time.mul_f64(REFUSE_SHARE - DRAIN_SHARE);
         tokio::time::sleep(drain_time).await;
         let _ = self.refusing_calls.send(true);
+        self.accepting.abort();
         let max_time = self.shutdown_time.mul_f64(EXIT_SHARE);
         while self.open_connections.load(Ordering::Relaxed) > 0
             && clock::now().since(started_at) < max_time
--- a/crates/entry/src/forward/mod.rs
+++ b/crates/entry/src/forward/mod.rs
@@ -7,6 +7,7 @@
 
 mod attempt;
 mod body_memory;
+mod caller_connection;
 pub mod choice;
 pub mod codec;
 mod completion;
--- a/crates/entry/src/forward/server.rs
+++ b/crates/entry/src/forward/server.rs
@@ -9,16 +9,16 @@
 use hyper::service::service_fn;
 use hyper::{Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::sync::watch;
 
 use chestnutloft_wire::clock;
 use chestnutloft_wire::http::{AnyBody, full};
 
+use super::caller_connection::serve_connection;
 use super::codec::empty_response;
 use super::context::ForwardContext;
 use super::metrics::GaugeValues;
-use super::pipeline::handle_call;
 
 /// Delay after a failed accept, which mostly means that file descriptors have run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -30,7 +30,7 @@
 pub type ConnectionCount = Arc<AtomicUsize>;
 
 /// Accepts caller connections until the process ends. Once `draining` is set, each connection is
-/// closed as soon as it is idle.
+/// closed when it is idle.
 pub async fn serve_callers(
     context: Arc<ForwardContext>,
     listener: TcpListener,
@@ -53,37 +53,6 @@
     }
 }
 
-async fn serve_connection(
-    context: Arc<ForwardContext>,
-    stream: TcpStream,
-    mut draining: watch::Receiver<bool>,
-) {
-    let _ = stream.set_nodelay(true);
-    let limits = context.state().declaration().limits.clone();
-    let service = service_fn(move |request| {
-        let context = Arc::clone(&context);
-        async move { Ok::<_, Infallible>(handle_call(context, request).await) }
-    });
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        // hyper applies this timeout to the idle time between requests of a connection as well.
-        .header_read_timeout(limits.idle())
-        .max_buf_size(limits.head_bytes.max(8 * 1024))
-        .serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(connection);
-    let mut is_draining = false;
-    loop {
-        tokio::select! {
-            // Connection errors need no log line here: each call logs its own outcome.
-            _ = &mut connection => return,
-            _ = draining.wait_for(|is_set| *is_set), if !is_draining => {
-                is_draining = true;
-                connection.as_mut().graceful_shutdown();
-            }
-        }
-    }
-}
-
 /// Builds a response from the path of the request alone.
 pub type StatusHandler = fn(&ForwardContext, &str) -> Response<AnyBody>;
 
