Send no calls to endpoints that say that they leave or want none

The choice of endpoints leaves both out for every call, retry, escalation and resumption, whatever the keepers' state says; a new start of the endpoint ends both. With all endpoints of a service at rest a call is refused at once, with a time after the soonest end, spread.

--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -6,6 +6,7 @@
 mod canary;
 mod declaration;
 mod directory;
+mod endpoint_rest;
 mod escalation;
 mod event_gap;
 mod health;
@@ -31,6 +32,7 @@
 pub use directory::{
     DirectoryChange, EndpointDirectory, EndpointNotice, EndpointPhase, NoticeOutcome, PoolEndpoint,
 };
+pub use endpoint_rest::EndpointRest;
 pub use escalation::{
     CallTokens, EscalationCandidate, EscalationPolicy, EscalationSettings, PoolLoad,
 };
--- a/crates/core/tests/routing/main.rs
+++ b/crates/core/tests/routing/main.rs
@@ -5,6 +5,7 @@
 mod canary;
 mod declaration;
 mod directory;
+mod endpoint_rest;
 mod escalation;
 mod fixture;
 mod health;
--- a/crates/entry/src/forward/choice.rs
+++ b/crates/entry/src/forward/choice.rs
@@ -115,6 +115,11 @@
     AtRateLimit,
     /// This entry's share of the service's connection limit is in use.
     ConnectionsInUse,
+    /// All endpoints have asked for no calls.
+    AtRest {
+        /// Time until the first of them takes calls again.
+        left: Duration,
+    },
 }
 
 impl NoEndpoint {
@@ -124,6 +129,7 @@
             Self::NoneReady => "no endpoint takes new work",
             Self::AtRateLimit => "the endpoints left take no further calls at present",
             Self::ConnectionsInUse => "all connections are in use",
+            Self::AtRest { .. } => "the endpoints have asked for no calls",
         }
     }
 }
@@ -162,6 +168,7 @@
     fn accepts_calls(&self, endpoint: &EndpointState) -> bool {
         endpoint.notice.phase == EndpointPhase::Ready
             && !endpoint.is_misdirected
+            && !endpoint.is_leaving
             && !self.evacuated.contains(&endpoint.notice.domain)
     }
 
@@ -197,9 +204,16 @@
         if available.is_empty() {
             return Err(NoEndpoint::NoneReady);
         }
+        let rests = available.iter().map(|endpoint| endpoint.rest.left(now));
+        let soonest_end = rests.map(Option::unwrap_or_default).min();
+        if let Some(left) = soonest_end.filter(|left| !left.is_zero()) {
+            return Err(NoEndpoint::AtRest { left });
+        }
+        let available = available
+            .into_iter()
+            .filter(|endpoint| endpoint.rest.left(now).is_none());
         let max_connections = self.connection_share(request.service);
         let connectable: Vec<&EndpointState> = available
-            .into_iter()
             .filter(|endpoint| endpoint.in_flight < max_connections)
             .collect();
         if connectable.is_empty() {
--- a/crates/entry/src/forward/codec.rs
+++ b/crates/entry/src/forward/codec.rs
@@ -123,6 +123,10 @@
     pub load: Option<ReportedLoad>,
     /// Calls per second that the endpoint takes from all entries together, if it names a limit.
     pub limit_per_s: Option<f64>,
+    /// Whether the endpoint says that it leaves.
+    pub is_leaving: bool,
+    /// Time for which the endpoint, which is overloaded, wants no calls.
+    pub rest: Option<Duration>,
     /// Whether the connection stays open.
     pub persistence: ConnectionPersistence,
 }
--- a/crates/entry/src/forward/completion.rs
+++ b/crates/entry/src/forward/completion.rs
@@ -53,6 +53,17 @@
     /// The refusal for `reason`. It tells the caller that the call has not run only if no attempt
     /// may have run it.
     pub(super) fn refusal(&self, now: TimePoint, reason: &'static str) -> CallRefusal {
+        self.refusal_for(now, reason, Duration::ZERO)
+    }
+
+    /// The refusal for `reason`, which holds for `min_delay` at least. The callers return spread over
+    /// a time after it.
+    pub(super) fn refusal_for(
+        &self,
+        now: TimePoint,
+        reason: &'static str,
+        min_delay: Duration,
+    ) -> CallRefusal {
         let Some(proof) = self.call.executions.not_run() else {
             return CallRefusal::Failed(reason);
         };
@@ -66,7 +77,7 @@
         CallRefusal::NotRun {
             proof,
             reason,
-            retry_after: max_delay.mul_f64(jitter),
+            retry_after: min_delay + max_delay.mul_f64(jitter),
         }
     }
 
--- a/crates/entry/src/forward/outcomes.rs
+++ b/crates/entry/src/forward/outcomes.rs
@@ -13,6 +13,31 @@
 use super::state::{EntryState, LoadReport};
 
 impl EntryState {
+    /// Records what an endpoint said of itself with an answer: whether it leaves, and for how long it
+    /// wants no calls.
+    pub fn record_self_report(
+        &mut self,
+        now: TimePoint,
+        id: &str,
+        is_leaving: bool,
+        rest: Option<Duration>,
+    ) {
+        let Some(endpoint) = self.endpoints.get_mut(id) else {
+            return;
+        };
+        if is_leaving && !std::mem::replace(&mut endpoint.is_leaving, true) {
+            spdlog::info!("health: endpoint {id} says that it leaves; it gets no further calls.");
+        }
+        if let Some(rest) = rest
+            && endpoint.rest.grant(now, rest)
+        {
+            spdlog::info!(
+                "health: endpoint {id} asks for no calls for {} ms.",
+                rest.as_millis()
+            );
+        }
+    }
+
     /// Records that the response to an attempt has begun after `took`.
     pub fn record_response_start(
         &mut self,
--- a/crates/entry/src/forward/pipeline.rs
+++ b/crates/entry/src/forward/pipeline.rs
@@ -228,6 +228,9 @@
                 Ok(endpoint) => return Ok(endpoint),
                 Err(no_endpoint) => no_endpoint,
             };
+            if let NoEndpoint::AtRest { left } = no_endpoint {
+                return Err(self.refusal_for(now, no_endpoint.reason(), left));
+            }
             let max_wait = self.call.latency_target().mul_f64(CHOICE_WAIT_SHARE);
             let max_wait = self
                 .held_answer
--- a/crates/entry/src/forward/state.rs
+++ b/crates/entry/src/forward/state.rs
@@ -6,11 +6,11 @@
 use std::time::Duration;
 
 use chestnutloft_core::routing::{
-    ArmCount, ArmKey, EndpointNotice, EndpointPhase, EndpointRateLimiter, EventGapReport,
-    EventGapTracker, HealthSettings, IdleGap, PlacementSettings, PoolHealth, PrefillTimeEstimator,
-    QueueDelayEstimator, RolloutStage, RolloutState, RouteDeclaration, RouteTable, RoutingRevision,
-    RoutingUpdate, SegmentAdmission, SegmentKnowledge, ServiceRetryBudget, ServiceRetrySettings,
-    SessionVersions, StatedLimits,
+    ArmCount, ArmKey, EndpointNotice, EndpointPhase, EndpointRateLimiter, EndpointRest,
+    EventGapReport, EventGapTracker, HealthSettings, IdleGap, PlacementSettings, PoolHealth,
+    PrefillTimeEstimator, QueueDelayEstimator, RolloutStage, RolloutState, RouteDeclaration,
+    RouteTable, RoutingRevision, RoutingUpdate, SegmentAdmission, SegmentKnowledge,
+    ServiceRetryBudget, ServiceRetrySettings, SessionVersions, StatedLimits,
 };
 use chestnutloft_core::time::TimePoint;
 
@@ -35,6 +35,10 @@
     pub(super) report: Option<LoadReport>,
     /// Another endpoint responded at the address.
     pub(super) is_misdirected: bool,
+    /// The endpoint has said that it leaves.
+    pub(super) is_leaving: bool,
+    /// Time for which the endpoint has asked for no calls.
+    pub(super) rest: EndpointRest,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -233,6 +237,8 @@
                 self.health.forget(&notice.id);
                 known.report = None;
                 known.is_misdirected = false;
+                known.is_leaving = false;
+                known.rest = EndpointRest::default();
             }
             known.notice = notice;
             known.cold_until = cold_until;
@@ -243,6 +249,8 @@
                 in_flight: 0,
                 report: None,
                 is_misdirected: false,
+                is_leaving: false,
+                rest: EndpointRest::default(),
             };
             let id = Arc::clone(&endpoint.notice.id);
             self.endpoints.insert(id, endpoint);
