--- a/crates/core/tests/routing/endpoint_rest.rs
+++ b/crates/core/tests/routing/endpoint_rest.rs
@@ -15,7 +15,7 @@
 
     rest.grant(at(100), Duration::from_millis(1_500));
 
-    assert_eq!(rest.left(at(600)), Some(Duration::from_millis(1_000)));
+    assert_eq!(rest.left(at(600)), Some(Duration::from_secs(1)));
     assert_eq!(rest.left(at(1_600)), None);
 }
 
