--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -254,7 +254,7 @@
         if state.record_limit(now, id, sent_at, head.limit_per_s) {
             context.load_exchange.notify_changed();
         }
-        state.record_self_report(now, id, head.is_leaving, head.rest);
+        state.record_self_report(now, id, head.self_report);
     }
     if head.execution != ExecutionStatus::MayHaveRun {
         let is_misdirected = head.execution == ExecutionStatus::Misdirected;
--- a/crates/entry/src/forward/codec.rs
+++ b/crates/entry/src/forward/codec.rs
@@ -106,6 +106,15 @@
     }
 }
 
+/// What an endpoint says of itself with a response.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SelfReport {
+    /// Whether it leaves.
+    pub is_leaving: bool,
+    /// Time for which it wants no calls.
+    pub rest: Option<Duration>,
+}
+
 /// What the codec reads from the headers of an endpoint's response.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct ResponseHead {
@@ -123,10 +132,8 @@
     pub load: Option<ReportedLoad>,
     /// Calls per second that the endpoint takes from all entries together, if it names a limit.
     pub limit_per_s: Option<f64>,
-    /// Whether the endpoint says that it leaves.
-    pub is_leaving: bool,
-    /// Time for which the endpoint, which is overloaded, wants no calls.
-    pub rest: Option<Duration>,
+    /// What the endpoint says of itself.
+    pub self_report: SelfReport,
     /// Whether the connection stays open.
     pub persistence: ConnectionPersistence,
 }
--- a/crates/entry/src/forward/outcomes.rs
+++ b/crates/entry/src/forward/outcomes.rs
@@ -9,26 +9,19 @@
 use chestnutloft_core::time::TimePoint;
 
 use super::choice::ChosenEndpoint;
-use super::codec::ReportedLoad;
+use super::codec::{ReportedLoad, SelfReport};
 use super::state::{EntryState, LoadReport};
 
 impl EntryState {
-    /// Records what an endpoint said of itself with an answer: whether it leaves, and for how long it
-    /// wants no calls.
-    pub fn record_self_report(
-        &mut self,
-        now: TimePoint,
-        id: &str,
-        is_leaving: bool,
-        rest: Option<Duration>,
-    ) {
+    /// Records what an endpoint said of itself with an answer.
+    pub fn record_self_report(&mut self, now: TimePoint, id: &str, report: SelfReport) {
         let Some(endpoint) = self.endpoints.get_mut(id) else {
             return;
         };
-        if is_leaving && !std::mem::replace(&mut endpoint.is_leaving, true) {
+        if report.is_leaving && !std::mem::replace(&mut endpoint.is_leaving, true) {
             spdlog::info!("health: endpoint {id} says that it leaves; it gets no further calls.");
         }
-        if let Some(rest) = rest
+        if let Some(rest) = report.rest
             && endpoint.rest.grant(now, rest)
         {
             spdlog::info!(
