Log and count how long changes take to reach all entries, and members that do not answer

The leader logs when a change is at all entries, and names entries that lack it after 1 s; it logs a member that has not answered for 1 s with what it lacks, and when it answers again. An entry logs an update that took over 100 ms to apply. Metrics: chestnutloft.log.memory_bytes, chestnutloft.members.silent.

No decision changes.

--- a/crates/core/src/consensus/entry_log.rs
+++ b/crates/core/src/consensus/entry_log.rs
@@ -67,6 +67,18 @@
             .collect()
     }
 
+    /// Size of the commands in memory, in bytes.
+    pub fn command_bytes(&self) -> usize {
+        self.command_bytes_after(self.base_index)
+    }
+
+    /// Size of the commands in memory that follow `index`, in bytes.
+    pub fn command_bytes_after(&self, index: LogIndex) -> usize {
+        let start = self.position(index + 1).unwrap_or(0);
+        let entries = self.entries.iter().skip(start);
+        entries.map(LogEntry::command_bytes).sum()
+    }
+
     /// Appends an entry, whose index must follow [`Self::last_index`].
     pub fn push(&mut self, entry: LogEntry) {
         debug_assert_eq!(entry.index, self.last_index() + 1);
--- a/crates/core/src/consensus/message.rs
+++ b/crates/core/src/consensus/message.rs
@@ -39,6 +39,16 @@
     pub body: EntryBody,
 }
 
+impl LogEntry {
+    /// Size of the command in bytes; 0 for entries without one, which are small.
+    pub fn command_bytes(&self) -> usize {
+        match &self.body {
+            EntryBody::Command(command) => command.len(),
+            EntryBody::Noop | EntryBody::Config(_) => 0,
+        }
+    }
+}
+
 /// Content of a log entry.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum EntryBody {
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -30,7 +30,8 @@
     ServiceRule, ServiceShare, WorkspaceRule,
 };
 pub use directory::{
-    DirectoryChange, EndpointDirectory, EndpointNotice, EndpointPhase, NoticeOutcome, PoolEndpoint,
+    ChangeIndex, DirectoryChange, EndpointDirectory, EndpointNotice, EndpointPhase, NoticeOutcome,
+    PoolEndpoint,
 };
 pub use endpoint_rest::EndpointRest;
 pub use escalation::{
--- a/crates/entry/src/forward/watch.rs
+++ b/crates/entry/src/forward/watch.rs
@@ -24,6 +24,9 @@
 /// Delay after a poll that yielded no update.
 const RETRY_DELAY: Duration = Duration::from_millis(60);
 
+/// Time to apply an update from which it is reported.
+const SLOW_APPLY: Duration = Duration::from_millis(100);
+
 /// RPC addresses of the keepers named in the settings file.
 pub struct SeedList {
     reader: SeedReader,
@@ -229,7 +232,16 @@
     ) {
         let has_new_blocks = update.blocked_segments.is_some();
         let mut state = self.context.state();
+        let index = update.index;
         state.apply(now, requested_at, update);
+        let apply_time = clock::now().since(now);
+        if apply_time > SLOW_APPLY {
+            spdlog::warn!(
+                "watch: applying the update to change {index} took {} ms; the reply arrived {} ms after the poll.",
+                apply_time.as_millis(),
+                now.since(requested_at).as_millis()
+            );
+        }
         if has_new_blocks {
             self.context.segment_blocks.send_replace(());
         }
--- a/crates/keeper/src/actor.rs
+++ b/crates/keeper/src/actor.rs
@@ -37,6 +37,8 @@
 const SHOWN_CHANGES: usize = 10;
 /// Delay before a failed save is retried.
 const SAVE_RETRY_DELAY: Duration = Duration::from_millis(400);
+/// Time without an answer after which the leader reports a member as silent.
+const SILENCE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Messages to the replica's actor.
 pub enum ReplicaMessage {
@@ -118,6 +120,8 @@
     live_entries: Vec<LiveEntry>,
     live_hash: u64,
     was_leader: bool,
+    /// Members that have not answered this leader for [`SILENCE_TIMEOUT`].
+    silent_members: Vec<ReplicaId>,
     /// Whether a [`KeeperCommand::Tick`] or `Configure` was proposed and nothing has been committed
     /// since.
     is_maintenance_pending: bool,
@@ -175,6 +179,7 @@
             live_entries: Vec::new(),
             live_hash: 0,
             was_leader: false,
+            silent_members: Vec::new(),
             is_maintenance_pending: false,
             is_routing_pending: false,
             core,
@@ -232,6 +237,7 @@
                 .reject_watches(self.leader_address().as_deref());
             return;
         }
+        self.log_silent_members(now);
         self.tick_routing(now);
         let expired = self.grants.remove_expired(now, &self.settings.lease);
         for entry in expired {
@@ -260,6 +266,31 @@
         }
     }
 
+    fn log_silent_members(&mut self, now: TimePoint) {
+        let silent = self.core.unresponsive_members(now, SILENCE_TIMEOUT);
+        if silent == self.silent_members {
+            return;
+        }
+        let last_index = self.core.last_index();
+        for (id, match_index, _) in self.core.follower_progress() {
+            match (self.silent_members.contains(&id), silent.contains(&id)) {
+                (false, true) => spdlog::warn!(
+                    "replica: member {} does not answer; it lacks up to {} of the log's entries, {} bytes of which are in memory.",
+                    id.0,
+                    last_index - match_index,
+                    self.core.log().command_bytes_after(match_index)
+                ),
+                (true, false) => spdlog::info!(
+                    "replica: member {} answers again; it lacks {} of the log's entries.",
+                    id.0,
+                    last_index - match_index
+                ),
+                _ => {}
+            }
+        }
+        self.silent_members = silent;
+    }
+
     /// Puts the leader's ledger settings through the log, so that all replicas apply the same ones.
     fn configure_ledger(&mut self, now: TimePoint) {
         let shards = self.state_machine.state().ledger.settings().shards;
@@ -500,6 +531,7 @@
             commit: self.core.commit_index(),
             snapshot: self.core.snapshot_index(),
             journal_bytes: self.journal_bytes,
+            log_bytes: self.core.log().command_bytes() as u64,
             accepted: state.plan.revision,
             declared_at: state.plan.declared_at,
             in_force: self
--- a/crates/keeper/src/actor_routing.rs
+++ b/crates/keeper/src/actor_routing.rs
@@ -38,8 +38,9 @@
                 self.propose(now, KeeperCommand::Routing(Box::new(command)));
             }
         }
-        self.coordinator
-            .answer_watches(now, &self.state_machine.state().routing);
+        let routing = &self.state_machine.state().routing;
+        self.coordinator.answer_watches(now, routing);
+        self.coordinator.log_propagation(now, routing);
     }
 
     pub(super) fn routing(&self, now: TimePoint) -> RoutingReply {
--- a/crates/keeper/src/lib.rs
+++ b/crates/keeper/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod metrics;
 pub mod operator;
 pub mod outbox;
+pub mod propagation;
 pub mod routing_coordinator;
 pub mod settings;
 pub mod state_machine;
--- a/crates/keeper/src/metrics.rs
+++ b/crates/keeper/src/metrics.rs
@@ -6,6 +6,9 @@
 
 use crate::status::ClusterStatus;
 
+/// Time without an answer from which a member counts as silent, in milliseconds.
+const SILENT_MS: u64 = 1_000;
+
 /// Metric instruments of a keeper.
 #[derive(Clone, Debug)]
 pub struct KeeperMetrics {
@@ -14,6 +17,8 @@
     commit: Gauge<u64>,
     snapshot: Gauge<u64>,
     journal: Gauge<u64>,
+    log: Gauge<u64>,
+    silent_members: Gauge<u64>,
     serving: Gauge<u64>,
     accepted: Gauge<u64>,
     in_force: Gauge<u64>,
@@ -34,6 +39,14 @@
             commit: gauge("chestnutloft.log.commit", "Newest committed index"),
             snapshot: gauge("chestnutloft.log.snapshot", "Index of the newest snapshot"),
             journal: gauge("chestnutloft.log.journal_bytes", "Bytes of the journal"),
+            log: gauge(
+                "chestnutloft.log.memory_bytes",
+                "Bytes of the log's commands in memory",
+            ),
+            silent_members: gauge(
+                "chestnutloft.members.silent",
+                "Members that have not answered the leader for a second",
+            ),
             serving: gauge(
                 "chestnutloft.log.serving",
                 "1 while this keeper leads with a lease",
@@ -59,6 +72,13 @@
         self.commit.record(status.commit, &[]);
         self.snapshot.record(status.snapshot, &[]);
         self.journal.record(status.journal_bytes, &[]);
+        self.log.record(status.log_bytes, &[]);
+        let is_silent = |silent_ms: Option<u64>| silent_ms.is_none_or(|ms| ms >= SILENT_MS);
+        let members = status.members.iter();
+        let silent = members.filter(|member| is_silent(member.silent_ms)).count();
+        // Only the leader knows.
+        let silent = if status.is_serving { silent as u64 } else { 0 };
+        self.silent_members.record(silent, &[]);
         self.serving.record(u64::from(status.is_serving), &[]);
         self.accepted.record(status.accepted, &[]);
         self.in_force.record(status.in_force.unwrap_or(0), &[]);
--- a/crates/keeper/src/routing_coordinator.rs
+++ b/crates/keeper/src/routing_coordinator.rs
@@ -10,7 +10,7 @@
 use tokio::sync::oneshot;
 
 use chestnutloft_core::routing::{
-    ArmCount, ArmKey, CanaryAnalysis, CanaryThresholds, DirectoryChange, EndpointEnd,
+    ArmCount, ArmKey, CanaryAnalysis, CanaryThresholds, ChangeIndex, DirectoryChange, EndpointEnd,
     EndpointNotice, EndpointPhase, NoticeOutcome, PoolEndpoint, RolloutStage, RolloutTiming,
     RoutingCommand, RoutingState, SegmentFaultDetector, SegmentFaultSettings, SessionHash,
     VersionVerdict,
@@ -20,6 +20,8 @@
     PeerLists, WatchCall, WatchReply, sessions_hash, suspicions_hash,
 };
 
+use crate::propagation::PropagationTracker;
+
 /// Timeouts of watches, entries and endpoints.
 #[serde_as]
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -67,6 +69,8 @@
 /// Last report of an entry.
 struct EntryReport {
     received_at: TimePoint,
+    /// Last change of the routing state that the entry has.
+    confirmed: ChangeIndex,
     /// Outcomes on versions under roll-out, counted since the entry started.
     arms: Vec<(ArmKey, ArmCount)>,
     bound_sessions: Vec<SessionHash>,
@@ -91,6 +95,7 @@
     keepers: Vec<String>,
     leader_since: TimePoint,
     segment_faults: SegmentFaultDetector,
+    propagation: PropagationTracker,
 }
 
 impl RoutingCoordinator {
@@ -106,6 +111,7 @@
             keepers: Vec::new(),
             leader_since: TimePoint::ZERO,
             segment_faults: SegmentFaultDetector::new(SegmentFaultSettings::default()),
+            propagation: PropagationTracker::default(),
         }
     }
 
@@ -115,6 +121,7 @@
         self.liveness.clear();
         self.entry_reports.clear();
         self.segment_faults = SegmentFaultDetector::new(SegmentFaultSettings::default());
+        self.propagation = PropagationTracker::default();
     }
 
     /// Updates the clocks of running roll-outs from the replicated state. Every replica does this,
@@ -197,11 +204,13 @@
                 spdlog::info!("routing: entry {} started watching.", call.entry);
                 EntryReport {
                     received_at: now,
+                    confirmed: 0,
                     arms: Vec::new(),
                     bound_sessions: Vec::new(),
                 }
             });
         report.received_at = now;
+        report.confirmed = call.known.index;
         for age in &call.rollouts {
             let key = (Arc::clone(&age.service), Arc::clone(&age.target));
             if let Some(clock) = self.rollout_clocks.get_mut(&key) {
@@ -273,6 +282,34 @@
         }
     }
 
+    /// Logs how long committed changes take to reach all watching entries.
+    pub fn log_propagation(&mut self, now: TimePoint, state: &RoutingState) {
+        self.propagation.record_change(now, state.changed_at);
+        let reports = &self.entry_reports;
+        let confirmed = || {
+            reports
+                .iter()
+                .map(|(name, report)| (name, report.confirmed))
+        };
+        if let Some((index, age)) = self.propagation.settle(now, confirmed()) {
+            spdlog::info!(
+                "routing: change {index} is at all {} entries {} ms after it was committed.",
+                reports.len(),
+                age.as_millis()
+            );
+        }
+        if let Some(overdue) = self.propagation.overdue(now, confirmed()) {
+            spdlog::warn!(
+                "routing: change {} has not reached {} of {} entries {} ms after it was committed, among them {:?}.",
+                overdue.index,
+                overdue.missing,
+                reports.len(),
+                overdue.age.as_millis(),
+                overdue.named
+            );
+        }
+    }
+
     fn endpoint_change(&self, now: TimePoint, endpoint: &PoolEndpoint) -> DirectoryChange {
         let cold_left_ms = match self.liveness.get(&endpoint.notice.id) {
             Some(liveness) => liveness.cold_until.millis_since(now),
--- a/crates/keeper/src/status.rs
+++ b/crates/keeper/src/status.rs
@@ -60,6 +60,8 @@
     pub snapshot: u64,
     /// Size of the journal in bytes.
     pub journal_bytes: u64,
+    /// Size of the commands in memory, in bytes.
+    pub log_bytes: u64,
     /// Latest accepted revision.
     pub accepted: u64,
     /// Revision of the latest declaration.
