Compute an update of the declaration once for all entries that need the same one

Cause: the actor that sends the leader's heartbeats computed the difference to the new declaration for each of 82 waiting polls before it did anything else. Class: work for each entry on the path of consensus.

Change: DeclarationUpdates keeps the update by the declaration that an entry has, until the next declaration; replies share it.

Evidence: core `routing` (an update is computed once for all entries with the same declaration); the type did not exist before.

--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -5,6 +5,7 @@
 mod budgets;
 mod canary;
 mod declaration;
+mod declaration_update;
 mod directory;
 mod endpoint_rest;
 mod escalation;
@@ -29,6 +30,7 @@
     CallKind, CallerLimits, DeclarationFinding, ModelRule, RouteDeclaration, RouteRule,
     ServiceRule, ServiceShare, WorkspaceRule,
 };
+pub use declaration_update::{DeclarationUpdate, DeclarationUpdates};
 pub use directory::{
     ChangeIndex, DirectoryChange, EndpointDirectory, EndpointNotice, EndpointPhase, NoticeOutcome,
     PoolEndpoint,
@@ -54,7 +56,6 @@
 pub use segment_knowledge::{SegmentAdmission, SegmentKnowledge};
 pub use sessions::{SessionHash, SessionVersions, VersionPreference, session_hash};
 pub use state::{
-    DeclarationUpdate, RoutingCommand, RoutingOutcome, RoutingRevision, RoutingState,
-    RoutingUpdate, StoredDeclaration,
+    RoutingCommand, RoutingOutcome, RoutingRevision, RoutingState, RoutingUpdate, StoredDeclaration,
 };
 pub use table::{KeyLookup, RouteTable};
--- a/crates/core/src/routing/state.rs
+++ b/crates/core/src/routing/state.rs
@@ -6,7 +6,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::declaration::{CallerLimits, RouteDeclaration, RouteRule, ServiceRule, WorkspaceRule};
+use super::declaration::RouteDeclaration;
+use super::declaration_update::DeclarationUpdate;
 use super::directory::{
     ChangeIndex, DirectoryChange, EndpointDirectory, EndpointNotice, NoticeOutcome,
 };
@@ -110,7 +111,7 @@
     /// Last change that the update includes.
     pub index: ChangeIndex,
     /// Update of the declaration, if it changed.
-    pub declaration: Option<DeclarationUpdate>,
+    pub declaration: Option<Arc<DeclarationUpdate>>,
     /// Endpoints that changed.
     pub endpoints: Vec<DirectoryChange>,
     /// All evacuated failure domains, if the set changed.
@@ -121,100 +122,6 @@
     pub blocked_segments: Option<Vec<SegmentBlock>>,
 }
 
-/// Difference to the declaration that the entry has, or the full declaration.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct DeclarationUpdate {
-    /// Number of the new declaration.
-    pub number: u64,
-    /// Whether `routes` replaces all routes of the entry.
-    pub is_whole: bool,
-    /// Routes that were added or changed; all routes in a full update.
-    pub routes: Vec<RouteRule>,
-    /// Host and prefix of removed routes.
-    pub dropped: Vec<(Arc<str>, Arc<str>)>,
-    /// All services, if any changed.
-    pub services: Option<Vec<ServiceRule>>,
-    /// All workspaces, if any changed.
-    pub workspaces: Option<Vec<WorkspaceRule>>,
-    /// Limits for callers.
-    pub limits: CallerLimits,
-}
-
-impl DeclarationUpdate {
-    fn full(new: &RouteDeclaration) -> Self {
-        Self {
-            number: new.number,
-            is_whole: true,
-            routes: new.routes.clone(),
-            dropped: Vec::new(),
-            services: Some(new.services.clone()),
-            workspaces: Some(new.workspaces.clone()),
-            limits: new.limits.clone(),
-        }
-    }
-
-    fn difference(old: &RouteDeclaration, new: &RouteDeclaration) -> Self {
-        let location = |rule: &RouteRule| (Arc::clone(&rule.host), Arc::clone(&rule.prefix));
-        let before: BTreeMap<_, _> = old
-            .routes
-            .iter()
-            .map(|rule| (location(rule), rule))
-            .collect();
-        let after: BTreeMap<_, _> = new
-            .routes
-            .iter()
-            .map(|rule| (location(rule), rule))
-            .collect();
-        let is_new_or_changed = |rule: &&RouteRule| before.get(&location(rule)) != Some(rule);
-        Self {
-            number: new.number,
-            is_whole: false,
-            routes: new
-                .routes
-                .iter()
-                .filter(is_new_or_changed)
-                .cloned()
-                .collect(),
-            dropped: before
-                .into_keys()
-                .filter(|location| !after.contains_key(location))
-                .collect(),
-            services: (old.services != new.services).then(|| new.services.clone()),
-            workspaces: (old.workspaces != new.workspaces).then(|| new.workspaces.clone()),
-            limits: new.limits.clone(),
-        }
-    }
-
-    /// Applies the update to the entry's `declaration`.
-    pub fn apply(self, declaration: &mut RouteDeclaration) {
-        declaration.number = self.number;
-        declaration.limits = self.limits;
-        if let Some(services) = self.services {
-            declaration.services = services;
-        }
-        if let Some(workspaces) = self.workspaces {
-            declaration.workspaces = workspaces;
-        }
-        if self.is_whole {
-            declaration.routes = self.routes;
-            return;
-        }
-        let is_unchanged = |rule: &RouteRule| {
-            let is_dropped = self
-                .dropped
-                .iter()
-                .any(|(host, prefix)| *host == rule.host && *prefix == rule.prefix);
-            let is_replaced = self
-                .routes
-                .iter()
-                .any(|new| new.host == rule.host && new.prefix == rule.prefix);
-            !is_dropped && !is_replaced
-        };
-        declaration.routes.retain(is_unchanged);
-        declaration.routes.extend(self.routes);
-    }
-}
-
 impl RoutingState {
     /// The declaration in force.
     pub fn declaration(&self) -> Option<&StoredDeclaration> {
@@ -346,11 +253,13 @@
         (RoutingOutcome::Accepted, is_change)
     }
 
-    /// Returns the changes since `known`. `describe` converts an endpoint and adds what only the
-    /// leader knows about it.
+    /// Returns the changes since `known`. `declaration` is the update of the declaration, see
+    /// [`Self::declaration_update`]; `describe` converts an endpoint and adds what only the leader
+    /// knows about it.
     pub fn update_from(
         &self,
         known: RoutingRevision,
+        declaration: Option<Arc<DeclarationUpdate>>,
         describe: impl Fn(&super::directory::PoolEndpoint) -> DirectoryChange,
     ) -> RoutingUpdate {
         let is_new = |at: ChangeIndex| at > known.index;
@@ -367,7 +276,7 @@
             .any(|rollout| is_new(rollout.changed_at));
         RoutingUpdate {
             index: self.changed_at,
-            declaration: self.declaration_update(known),
+            declaration,
             endpoints,
             evacuated: is_new(self.evacuated_at).then(|| self.evacuated.keys().cloned().collect()),
             rollouts: has_new_rollout.then(|| self.rollouts.values().cloned().collect()),
@@ -376,15 +285,16 @@
         }
     }
 
-    fn declaration_update(&self, known: RoutingRevision) -> Option<DeclarationUpdate> {
+    /// Update of an entry with declaration `known`; `None` if it has the one in force.
+    pub fn declaration_update(&self, known: u64) -> Option<DeclarationUpdate> {
         let newest = &self.declaration()?.declaration;
-        if newest.number <= known.declaration {
+        if newest.number <= known {
             return None;
         }
         let base = self
             .declarations
             .iter()
-            .find(|old| old.declaration.number == known.declaration);
+            .find(|old| old.declaration.number == known);
         Some(match base {
             Some(base) => DeclarationUpdate::difference(&base.declaration, newest),
             None => DeclarationUpdate::full(newest),
--- a/crates/core/tests/routing/state.rs
+++ b/crates/core/tests/routing/state.rs
@@ -1,8 +1,8 @@
 use std::sync::Arc;
 
 use chestnutloft_core::routing::{
-    DirectoryChange, PoolEndpoint, RolloutOrder, RolloutStage, RouteDeclaration, RoutingCommand,
-    RoutingOutcome, RoutingRevision, RoutingState, RoutingUpdate,
+    DeclarationUpdates, DirectoryChange, PoolEndpoint, RolloutOrder, RolloutStage,
+    RouteDeclaration, RoutingCommand, RoutingOutcome, RoutingRevision, RoutingState, RoutingUpdate,
 };
 
 use crate::fixture::{declaration, notice, route, stored, workspace};
@@ -15,7 +15,8 @@
 }
 
 fn update(state: &RoutingState, index: u64, declaration: u64) -> RoutingUpdate {
-    state.update_from(RoutingRevision { index, declaration }, describe)
+    let update = state.declaration_update(declaration).map(Arc::new);
+    state.update_from(RoutingRevision { index, declaration }, update, describe)
 }
 
 fn order(target: &str) -> RolloutOrder {
@@ -64,10 +65,8 @@
         // needs a full update.
         if number % 5 == 0 || number > 30 {
             let update = update(&state, 0, known.number);
-            update
-                .declaration
-                .expect("changed declaration")
-                .apply(&mut known);
+            let change = update.declaration.expect("changed declaration");
+            Arc::unwrap_or_clone(change).apply(&mut known);
 
             let mut routes = known.routes.clone();
             let mut expected = wanted.routes.clone();
@@ -101,6 +100,25 @@
     assert_eq!(change.workspaces, None);
 }
 
+#[test]
+fn an_update_is_computed_once_for_all_entries_with_the_same_declaration() {
+    let mut state = RoutingState::default();
+    let mut updates = DeclarationUpdates::default();
+    state.apply(1, &RoutingCommand::Declare(stored(declaration(1))));
+    state.apply(2, &RoutingCommand::Declare(stored(declaration(2))));
+
+    let first = updates.update(&state, 1).expect("a newer declaration");
+    let second = updates.update(&state, 1).expect("a newer declaration");
+    let current = updates.update(&state, 2);
+    state.apply(3, &RoutingCommand::Declare(stored(declaration(3))));
+    let third = updates.update(&state, 1).expect("a newer declaration");
+
+    assert!(Arc::ptr_eq(&first, &second));
+    assert_eq!(first.number, 2);
+    assert_eq!(current, None);
+    assert_eq!(third.number, 3);
+}
+
 #[test]
 fn each_change_is_sent_to_an_entry_once() {
     let mut state = RoutingState::default();
--- a/crates/entry/src/forward/state.rs
+++ b/crates/entry/src/forward/state.rs
@@ -191,7 +191,7 @@
         }
         self.index = update.index;
         if let Some(declaration) = update.declaration {
-            declaration.apply(&mut self.declaration);
+            Arc::unwrap_or_clone(declaration).apply(&mut self.declaration);
             self.table = Arc::new(RouteTable::new(&self.declaration));
             spdlog::info!(
                 "routes: declaration {} applied with {} routes.",
--- a/crates/entry/tests/state.rs
+++ b/crates/entry/tests/state.rs
@@ -74,7 +74,7 @@
     let mut state = EntryState::new(&ForwardSettings::default());
     let update = RoutingUpdate {
         index: 1,
-        declaration: Some(DeclarationUpdate {
+        declaration: Some(Arc::new(DeclarationUpdate {
             number: 1,
             is_whole: true,
             routes: Vec::new(),
@@ -82,7 +82,7 @@
             services: Some(vec![service()]),
             workspaces: None,
             limits: chestnutloft_core::routing::CallerLimits::default(),
-        }),
+        })),
         endpoints: vec![endpoint("old", "v1", 1, 0)],
         ..RoutingUpdate::default()
     };
--- a/crates/keeper/src/routing_coordinator.rs
+++ b/crates/keeper/src/routing_coordinator.rs
@@ -10,10 +10,10 @@
 use tokio::sync::oneshot;
 
 use chestnutloft_core::routing::{
-    ArmCount, ArmKey, CanaryAnalysis, CanaryThresholds, ChangeIndex, DirectoryChange, EndpointEnd,
-    EndpointNotice, EndpointPhase, NoticeOutcome, PoolEndpoint, RolloutStage, RolloutTiming,
-    RoutingCommand, RoutingState, SegmentFaultDetector, SegmentFaultSettings, SessionHash,
-    VersionVerdict,
+    ArmCount, ArmKey, CanaryAnalysis, CanaryThresholds, ChangeIndex, DeclarationUpdates,
+    DirectoryChange, EndpointEnd, EndpointNotice, EndpointPhase, NoticeOutcome, PoolEndpoint,
+    RolloutStage, RolloutTiming, RoutingCommand, RoutingState, SegmentFaultDetector,
+    SegmentFaultSettings, SessionHash, VersionVerdict,
 };
 use chestnutloft_core::time::TimePoint;
 use chestnutloft_wire::message::{
@@ -96,6 +96,7 @@
     leader_since: TimePoint,
     segment_faults: SegmentFaultDetector,
     propagation: PropagationTracker,
+    declaration_updates: DeclarationUpdates,
 }
 
 impl RoutingCoordinator {
@@ -112,6 +113,7 @@
             leader_since: TimePoint::ZERO,
             segment_faults: SegmentFaultDetector::new(SegmentFaultSettings::default()),
             propagation: PropagationTracker::default(),
+            declaration_updates: DeclarationUpdates::default(),
         }
     }
 
@@ -265,7 +267,9 @@
                 self.watches.push(watch);
                 continue;
             }
-            let update = state.update_from(watch.call.known, |endpoint| {
+            let known = watch.call.known;
+            let declaration = self.declaration_updates.update(state, known.declaration);
+            let update = state.update_from(known, declaration, |endpoint| {
                 self.endpoint_change(now, endpoint)
             });
             let has_current_peers = watch.call.peers_hash == peers_hash;
