Apply an update of the declaration in linear time

Change: the locations that an update replaces are looked up in a set.

The results are checked by `an_entry_reaches_the_same_declaration_by_differences` as before.

--- a/crates/core/src/routing/declaration_update.rs
+++ b/crates/core/src/routing/declaration_update.rs
@@ -86,18 +86,15 @@
             declaration.routes = self.routes;
             return;
         }
-        let is_unchanged = |rule: &RouteRule| {
-            let is_dropped = self
-                .dropped
-                .iter()
-                .any(|(host, prefix)| *host == rule.host && *prefix == rule.prefix);
-            let is_replaced = self
-                .routes
-                .iter()
-                .any(|new| new.host == rule.host && new.prefix == rule.prefix);
-            !is_dropped && !is_replaced
-        };
-        declaration.routes.retain(is_unchanged);
+        let dropped = self
+            .dropped
+            .iter()
+            .map(|(host, prefix)| (&**host, &**prefix));
+        let replaced = self.routes.iter().map(|rule| (&*rule.host, &*rule.prefix));
+        let outdated: HashSet<(&str, &str)> = dropped.chain(replaced).collect();
+        declaration
+            .routes
+            .retain(|rule| !outdated.contains(&(&*rule.host, &*rule.prefix)));
         declaration.routes.extend(self.routes);
     }
 }
