Ignore notices of endpoints for a service that is not declared

A notice of another writer, for a service that no declaration names, retired the endpoint at its address, and each later notice of that endpoint was acknowledged and ignored as stale.

Cause: any notice entered the directory. Class: input that names nothing known changes what is known.

Change: the leader ignores a notice whose service is not declared, unless the endpoint is registered for that service. An endpoint that came before its declaration is taken with its next notice.

--- a/crates/keeper/src/routing_coordinator.rs
+++ b/crates/keeper/src/routing_coordinator.rs
@@ -174,13 +174,22 @@
     }
 
     /// Records that an endpoint is live, unless `notice` is stale. Returns the effect of the notice
-    /// on `state`.
+    /// on `state`. One for a service that is not declared comes from another writer, or too early:
+    /// it must not retire the endpoint that it shares an address with.
     pub fn record_notice(
         &mut self,
         now: TimePoint,
         state: &RoutingState,
         notice: &EndpointNotice,
     ) -> NoticeOutcome {
+        if !is_known_service(state, notice) {
+            spdlog::debug!(
+                "routing: ignoring endpoint {}: its service {} is not declared.",
+                notice.id,
+                notice.service
+            );
+            return NoticeOutcome::Stale;
+        }
         let outcome = state.directory.classify(notice);
         if outcome != NoticeOutcome::Stale {
             let liveness = EndpointLiveness {
@@ -435,3 +444,11 @@
         commands
     }
 }
+
+/// Whether the service of `notice` is declared, or was when the endpoint registered.
+fn is_known_service(state: &RoutingState, notice: &EndpointNotice) -> bool {
+    let declaration = state.declaration().map(|stored| &stored.declaration);
+    let is_declared = declaration.is_some_and(|rules| rules.service(&notice.service).is_some());
+    let known = state.directory.get(&notice.id);
+    is_declared || known.is_some_and(|known| known.notice.service == notice.service)
+}
--- a/crates/keeper/tests/routing_coordinator.rs
+++ b/crates/keeper/tests/routing_coordinator.rs
@@ -5,7 +5,9 @@
 use tokio::sync::oneshot;
 
 use chestnutloft_core::routing::{
-    RolloutOrder, RolloutStage, RoutingCommand, RoutingRevision, RoutingState, SegmentSuspicions,
+    EndpointNotice, EndpointPhase, NoticeOutcome, RolloutOrder, RolloutStage, RouteDeclaration,
+    RoutingCommand, RoutingRevision, RoutingState, SegmentSuspicions, ServiceRule,
+    StoredDeclaration,
 };
 use chestnutloft_core::time::TimePoint;
 use chestnutloft_keeper::routing_coordinator::{CoordinatorSettings, RoutingCoordinator};
@@ -123,3 +125,68 @@
     };
     assert_eq!(bound_sessions, Some(vec![7, 8, 9]));
 }
+
+fn notice(id: &str, service: &str, born_ms: u64) -> EndpointNotice {
+    EndpointNotice {
+        id: Arc::from(id),
+        born_ms,
+        sequence: 1,
+        service: Arc::from(service),
+        address: Arc::from("10.0.0.9:80"),
+        domain: Arc::from("north"),
+        version: Arc::from("v1"),
+        slots: 8,
+        phase: EndpointPhase::Ready,
+        cold_left_ms: 0,
+    }
+}
+
+fn declare(service: &str) -> RoutingCommand {
+    let declaration = RouteDeclaration {
+        number: 1,
+        services: vec![ServiceRule {
+            name: Arc::from(service),
+            health_path: Arc::from("/health"),
+            max_connections: 8,
+            cold_ms: 0,
+            cold_per_s: 0.0,
+            models: Vec::new(),
+        }],
+        ..RouteDeclaration::default()
+    };
+    RoutingCommand::Declare(StoredDeclaration {
+        declaration: Arc::new(declaration),
+        text: Arc::from([]),
+    })
+}
+
+#[test]
+fn a_notice_for_an_undeclared_service_does_not_take_the_address_of_an_endpoint() {
+    let mut coordinator = RoutingCoordinator::new(CoordinatorSettings::default());
+    let mut state = RoutingState::default();
+    state.apply(1, &declare("llm"));
+    state.apply(2, &RoutingCommand::Announce(notice("a", "llm", 100)));
+
+    let foreign = coordinator.record_notice(at(0), &state, &notice("b", "other", 200));
+    let own = coordinator.record_notice(at(10), &state, &notice("a", "llm", 100));
+
+    assert_eq!(foreign, NoticeOutcome::Stale);
+    assert_eq!(own, NoticeOutcome::Refreshes);
+}
+
+#[test]
+fn an_endpoint_whose_service_is_no_longer_declared_can_still_drain() {
+    let mut coordinator = RoutingCoordinator::new(CoordinatorSettings::default());
+    let mut state = RoutingState::default();
+    state.apply(1, &RoutingCommand::Announce(notice("a", "llm", 100)));
+    state.apply(2, &declare("other"));
+    let draining = EndpointNotice {
+        phase: EndpointPhase::Draining,
+        sequence: 2,
+        ..notice("a", "llm", 100)
+    };
+
+    let outcome = coordinator.record_notice(at(0), &state, &draining);
+
+    assert_eq!(outcome, NoticeOutcome::Changes);
+}
