Take a deregistration of a later start as the end of the earlier one, too

Callers would see: calls at a back end that was acknowledged as gone (DRAIN). An endpoint that starts again under its id and deregisters before any of its notices has arrived was answered 200, while the record of its earlier start stayed in use, at the same address.

Cause: only a deregistration of exactly the registered start counted. Class: an order that is acknowledged and not obeyed because it names something newer than what is known.

Change: an incarnation ends with the deregistration of any later one, and a late notice of that one no longer counts.

Evidence: core `routing`, the new test of `directory` failed before.

--- a/crates/core/src/routing/directory.rs
+++ b/crates/core/src/routing/directory.rs
@@ -170,15 +170,18 @@
     }
 
     /// Marks an endpoint as gone and returns whether that changed anything. With `born_ms`, only
-    /// that incarnation is removed.
+    /// that incarnation and earlier ones are removed.
     pub fn leave(&mut self, index: ChangeIndex, id: &str, born_ms: Option<u64>) -> bool {
         let Some(known) = self.endpoints.get_mut(id) else {
             return false;
         };
-        let is_other_incarnation = born_ms.is_some_and(|born| born != known.notice.born_ms);
-        if is_other_incarnation || known.notice.phase == EndpointPhase::Gone {
+        let born_ms = born_ms.unwrap_or(known.notice.born_ms);
+        let is_known_end =
+            known.notice.phase == EndpointPhase::Gone && born_ms == known.notice.born_ms;
+        if born_ms < known.notice.born_ms || is_known_end {
             return false;
         }
+        known.notice.born_ms = born_ms;
         known.notice.phase = EndpointPhase::Gone;
         known.changed_at = index;
         true
--- a/crates/core/src/routing/state.rs
+++ b/crates/core/src/routing/state.rs
@@ -28,7 +28,7 @@
     Leave {
         /// Id of the endpoint.
         id: Arc<str>,
-        /// Start time that identifies the incarnation; `None` stands for whichever is registered.
+        /// Start time of the last incarnation to remove; `None` stands for the registered one.
         born_ms: Option<u64>,
     },
     /// Evacuates a failure domain, or ends its evacuation.
--- a/crates/core/tests/routing/directory.rs
+++ b/crates/core/tests/routing/directory.rs
@@ -66,6 +66,19 @@
     assert_eq!(phase(&directory, "a"), Some(EndpointPhase::Ready));
 }
 
+#[test]
+fn a_deregistration_of_a_later_incarnation_ends_the_known_one() {
+    let mut directory = EndpointDirectory::default();
+    directory.apply(1, &notice("a", 100, 1));
+
+    let is_change = directory.leave(2, "a", Some(200));
+    let late = directory.apply(3, &notice("a", 200, 1));
+
+    assert!(is_change);
+    assert_eq!(late, NoticeOutcome::Stale);
+    assert_eq!(phase(&directory, "a"), Some(EndpointPhase::Gone));
+}
+
 #[test]
 fn an_address_belongs_to_the_endpoint_that_started_last() {
     let mut directory = EndpointDirectory::default();
