Poll keepers again during the search for the leader

Cause: a keeper that did not lead yet was asked once in each search, and a search lasted until the silent ones had timed out, up to 1 s; a leader elected meanwhile was found by the next search. Within the time that a change may take there were two of these searches.

Change: a keeper that answers and does not lead is asked again after 200 ms, within the first 800 ms of a search.

Evidence: entry `leader_search`, the new test failed before: the search ended without a leader.

--- a/crates/entry/src/forward/leader_search.rs
+++ b/crates/entry/src/forward/leader_search.rs
@@ -2,7 +2,8 @@
 //!
 //! A keeper without power or behind a partition does not answer at all. Polling one keeper after
 //! the other would wait for the timeout of each of these, so the next one is polled while the
-//! answers of those before are still pending.
+//! answers of those before are still pending. A keeper that does not lead may win the election that
+//! is under way, so it is polled again while the others are still pending.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -12,6 +13,10 @@
 
 /// Delay between the first polls of two keepers.
 const NEXT_KEEPER_DELAY: Duration = Duration::from_millis(100);
+/// Delay after which a keeper that does not lead is polled again.
+const SAME_KEEPER_DELAY: Duration = Duration::from_millis(200);
+/// Time after which no keeper is polled again.
+const REPEAT_LIMIT: Duration = Duration::from_millis(800);
 /// Timeout of one poll. A leader holds a poll open for up to 0.4 s while it has no update.
 const POLL_TIMEOUT: Duration = Duration::from_millis(600);
 
@@ -53,6 +58,7 @@
         let timed_out = || KeeperAnswer::Failed(format!("timed out after {POLL_TIMEOUT:?}"));
         (address, answer.unwrap_or_else(|_| timed_out()))
     };
+    let started_at = tokio::time::Instant::now();
     let mut polled = BTreeSet::new();
     let mut polls = FuturesUnordered::new();
     let mut delay = Duration::ZERO;
@@ -66,14 +72,19 @@
     while let Some((address, answer)) = polls.next().await {
         match answer {
             KeeperAnswer::Leader(reply) => return Ok(FoundLeader { address, reply }),
-            KeeperAnswer::Follower(None) => {
-                problem = format!("{address} knows no leader");
-            }
-            KeeperAnswer::Follower(Some(leader)) => {
-                problem = format!("{address} named {leader}, which does not lead");
-                if polled.insert(leader.clone()) {
+            KeeperAnswer::Follower(hint) => {
+                problem = match &hint {
+                    Some(leader) => format!("{address} named {leader}, which does not lead"),
+                    None => format!("{address} knows no leader"),
+                };
+                if let Some(leader) = hint
+                    && polled.insert(leader.clone())
+                {
                     polls.push(poll_after(Duration::ZERO, leader));
                 }
+                if started_at.elapsed() + SAME_KEEPER_DELAY < REPEAT_LIMIT {
+                    polls.push(poll_after(SAME_KEEPER_DELAY, address));
+                }
             }
             KeeperAnswer::Failed(reason) => problem = format!("{address}: {reason}"),
         }
--- a/crates/entry/tests/leader_search.rs
+++ b/crates/entry/tests/leader_search.rs
@@ -77,3 +77,20 @@
     assert!(found.is_err());
     assert!(started_at.elapsed() < Duration::from_secs(1));
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_keeper_that_is_elected_during_the_search_is_found_before_silent_ones_time_out() {
+    let started_at = tokio::time::Instant::now();
+    let elected_at = started_at + Duration::from_millis(300);
+    let elect = async |address: String| {
+        if address == "follower-1" && tokio::time::Instant::now() >= elected_at {
+            return KeeperAnswer::Leader(7);
+        }
+        answer(address).await
+    };
+
+    let found = search_leader(&addresses(&["follower-1", "stale-2", "dark-3"]), elect).await;
+
+    assert_eq!(found.expect("a leader").address, "follower-1");
+    assert!(started_at.elapsed() < Duration::from_millis(600));
+}
