Bound the bytes that wait in the RPC client for one address

Cause: the queue of calls had no bound in bytes. Class: as in, limits by number or none on items without a limit of size.

Change: a call is rejected as not sent while 8 MiB of payload wait for its address; the bytes are released when the call ends.

--- a/crates/wire/src/rpc_client.rs
+++ b/crates/wire/src/rpc_client.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::fmt;
 use std::rc::Rc;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use capnp_rpc::RpcSystem;
@@ -43,18 +43,72 @@
 
 impl std::error::Error for CallError {}
 
+/// Payload bytes that may wait for one address. The call that passes this limit is the last one to be
+/// sent until others have ended.
+const MAX_WAITING_BYTES: usize = 8 * 1024 * 1024;
+
+/// Payload bytes of the calls that have not ended, by address.
+#[derive(Debug, Default)]
+struct WaitingBytes {
+    by_address: Mutex<HashMap<String, usize>>,
+}
+
+/// Counts a call as waiting until dropped.
+struct WaitingCall {
+    waiting: Arc<WaitingBytes>,
+    address: String,
+    bytes: usize,
+}
+
+impl WaitingBytes {
+    fn admit(self: &Arc<Self>, address: &str, bytes: usize) -> Result<WaitingCall, CallError> {
+        let mut by_address = self
+            .by_address
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let waiting = by_address.entry(address.to_owned()).or_default();
+        if *waiting >= MAX_WAITING_BYTES {
+            return Err(CallError::NotSent(format!(
+                "{address}: {waiting} bytes wait"
+            )));
+        }
+        *waiting += bytes;
+        Ok(WaitingCall {
+            waiting: Arc::clone(self),
+            address: address.to_owned(),
+            bytes,
+        })
+    }
+}
+
+impl Drop for WaitingCall {
+    fn drop(&mut self) {
+        let by_address = self.waiting.by_address.lock();
+        let mut by_address = by_address.unwrap_or_else(PoisonError::into_inner);
+        if let Some(waiting) = by_address.get_mut(&self.address) {
+            *waiting -= self.bytes;
+            if *waiting == 0 {
+                by_address.remove(&self.address);
+            }
+        }
+    }
+}
+
 struct PendingCall {
     address: String,
     method: Method,
     payload: Vec<u8>,
     timeout: Duration,
     reply: oneshot::Sender<Result<Vec<u8>, CallError>>,
+    /// Held until the RPC thread no longer has the payload, also if the caller no longer waits.
+    waiting: WaitingCall,
 }
 
 /// A handle to the RPC client thread. Clones share its connections.
 #[derive(Clone)]
 pub struct RpcClient {
     calls: mpsc::UnboundedSender<PendingCall>,
+    waiting: Arc<WaitingBytes>,
 }
 
 impl fmt::Debug for RpcClient {
@@ -79,10 +133,13 @@
                 let local = LocalSet::new();
                 local.block_on(&runtime, run_calls(receiver, proof.into()));
             })?;
-        Ok(Self { calls })
+        Ok(Self {
+            calls,
+            waiting: Arc::default(),
+        })
     }
 
-    /// Calls `method` at `address`.
+    /// Calls `method` at `address`. Rejected if too many bytes of earlier calls wait for the address.
     ///
     /// # Errors
     /// [`CallError`], which says whether the call may have been served.
@@ -94,6 +151,7 @@
         timeout: Duration,
     ) -> Result<A, CallError> {
         let payload = postcard::to_stdvec(call).map_err(|e| CallError::NotSent(e.to_string()))?;
+        let payload_bytes = payload.len();
         let (reply, answer) = oneshot::channel();
         let pending = PendingCall {
             address: address.to_owned(),
@@ -101,6 +159,7 @@
             payload,
             timeout,
             reply,
+            waiting: self.waiting.admit(address, payload_bytes)?,
         };
         let is_closed = self.calls.send(pending).is_err();
         if is_closed {
@@ -129,8 +188,10 @@
                 payload,
                 timeout,
                 reply,
+                waiting,
             } = call;
             let outcome = run_call(&connection, &address, method, &payload, timeout, &proof).await;
+            drop(waiting);
             let _ = reply.send(outcome);
         });
     }
