--- a/crates/core/src/consensus/replica.rs
+++ b/crates/core/src/consensus/replica.rs
@@ -470,8 +470,8 @@
 
     /// Records `data` as the snapshot of the state machine at `index`, and compacts the log except
     /// for [`ReplicaSettings::kept_entries`] entries that lagging followers may still need, with at
-    /// most [`ReplicaSettings::kept_bytes`] of commands. Returns the snapshot to save, or `None` if `index` is not newer than the last snapshot or is not yet
-    /// applied and saved.
+    /// most [`ReplicaSettings::kept_bytes`] of commands. Returns the snapshot to save, or `None` if
+    /// `index` is not newer than the last snapshot or is not yet applied and saved.
     pub fn compact(&mut self, index: LogIndex, data: Arc<[u8]>) -> Option<SnapshotImage> {
         if index <= self.snapshot.index || index > self.applied_index.min(self.saved_index) {
             return None;
