--- a/crates/keeper/src/routing_coordinator.rs
+++ b/crates/keeper/src/routing_coordinator.rs
@@ -174,8 +174,8 @@
     }
 
     /// Records that an endpoint is live, unless `notice` is stale. Returns the effect of the notice
-    /// on `state`. One for a service that is not declared comes from another writer, or too early:
-    /// it must not retire the endpoint that it shares an address with.
+    /// on `state`. One for a service that is not declared may come from another writer: it must not
+    /// retire the endpoint that it shares an address with.
     pub fn record_notice(
         &mut self,
         now: TimePoint,
@@ -445,10 +445,11 @@
     }
 }
 
-/// Whether the service of `notice` is declared, or was when the endpoint registered.
+/// Whether the service of `notice` is declared, or was when the endpoint registered. Before the first
+/// declaration, each service may still be declared.
 fn is_known_service(state: &RoutingState, notice: &EndpointNotice) -> bool {
     let declaration = state.declaration().map(|stored| &stored.declaration);
-    let is_declared = declaration.is_some_and(|rules| rules.service(&notice.service).is_some());
+    let is_declared = declaration.is_none_or(|rules| rules.service(&notice.service).is_some());
     let known = state.directory.get(&notice.id);
     is_declared || known.is_some_and(|known| known.notice.service == notice.service)
 }
