--- a/crates/keeper/src/actor.rs
+++ b/crates/keeper/src/actor.rs
@@ -455,6 +455,7 @@
             self.is_routing_pending = false;
             self.grants.reset(now);
             self.live_entries.clear();
+            self.silent_members.clear();
             self.coordinator.start_leading(now);
         } else {
             spdlog::info!("replica: became follower in term {}.", self.core.term());
