Spread the warm-up over all cold endpoints of a pool

Its capacity was not warm when the others needed it.

Cause: of the requests that are meant for cold endpoints (a tenth), each took the first cold endpoint of the pool with a slot, because all of them had the same score of 0. The others waited until the first was warm. Ruled out: ejection (none), a plan that still had the domain drained, a stale mean of the first token.

Fix: the order among cold endpoints is random.

--- a/crates/core/src/pipe/choose_endpoint.rs
+++ b/crates/core/src/pipe/choose_endpoint.rs
@@ -242,7 +242,8 @@
             };
             let jitter = 1.0 + rng.random_range(0.0..1.0) * self.settings.jitter;
             let score_ms = match (candidate.is_cold, is_warm_up) {
-                (true, true) => 0.0,
+                // Before all warm endpoints, in random order.
+                (true, true) => -jitter,
                 (true, false) => candidate.expected_ms * self.settings.cold_factor,
                 (false, _) => candidate.expected_ms * jitter,
             };
