Keep a granted slot of a cold endpoint until its grant ends

Cause: an entry reported on every slot that it held at its next report, 50 ms after the grant, and with no request there meanwhile it asked for 0 slots: the slot, granted for 1 s (0.4 s in the sample), was returned after 50 ms, mostly unused, and the next one was requested only every eighth request.

Fix: a slot that lies unused is returned when its grant ends, not at the next report. The owner counts it as used for as long anyway, and observations are reported as before.

--- a/crates/core/src/state/credits.rs
+++ b/crates/core/src/state/credits.rs
@@ -330,7 +330,8 @@
     pub fn needs_report(&self, now: TimePoint) -> bool {
         let is_pending = self.is_report_pending && now.since(self.reported_at) < REPORT_TIMEOUT;
         let has_observations = self.healthy + self.slow + self.refused > 0;
-        !self.is_warm && !is_pending && (has_observations || self.in_use > 0 || self.slots > 0)
+        let has_expired_slots = self.slots > 0 && now >= self.valid_until;
+        !self.is_warm && !is_pending && (has_observations || self.in_use > 0 || has_expired_slots)
     }
 
     /// Creates a report for the owner and resets the observations that it carries.
--- a/crates/core/tests/credits.rs
+++ b/crates/core/tests/credits.rs
@@ -197,3 +197,25 @@
     assert!(has_free_slot, "the grant is applied");
     assert!(is_due_after_answer, "a request was refused meanwhile");
 }
+
+#[test]
+fn a_slot_is_kept_for_its_whole_duration_before_it_is_returned_unused() {
+    let mut holder = CreditHolder::new(EPOCH);
+    let reported_at = TimePoint::from_secs(10);
+    holder.record_refused();
+    let _report = holder.report(reported_at);
+    let grant = CreditGrant {
+        slots: 1,
+        duration_us: 1_000_000,
+        is_warm: false,
+    };
+    holder.apply_grant(reported_at, EPOCH, grant);
+
+    let is_returned_early = holder.needs_report(reported_at + Duration::from_millis(999));
+    let is_returned = holder.needs_report(reported_at + Duration::from_secs(1));
+    let report = holder.report(reported_at + Duration::from_secs(1));
+
+    assert!(!is_returned_early, "the slot can still be used");
+    assert!(is_returned, "the owner may grant the slot to others");
+    assert_eq!(report.wanted, 0);
+}
