Tell the other entries which endpoints leave, and keep that through updates

An endpoint that says in an answer that it leaves was spared only by the entry that got the answer, so calls of the others went on to it until its announcement came. That entry forgot it when the endpoint's record went and came back, and a late answer of a process that had been replaced marked its successor.

Cause: the statement was a flag of the endpoint's record at one entry, set by the endpoint's name alone.

Change: a statement belongs to a process (endpoint and start time). A later start or another address lifts it. New gauge `chestnutloft_endpoints_leaving` and a log line for what a peer said.

Core `leaving_endpoints` covers the new module.

--- a/crates/core/src/routing/load_aggregation.rs
+++ b/crates/core/src/routing/load_aggregation.rs
@@ -14,6 +14,7 @@
 use crate::time::TimePoint;
 
 use super::event_gap::EventGapReport;
+use super::leaving_endpoints::{LeavingEndpoints, LeavingStatement};
 use super::rate_limits::{LimitStatement, StatedLimits};
 
 /// Age at which a report expires. By then its entry has stopped or lost its connection, and the
@@ -48,6 +49,9 @@
     pub event_gap: EventGapReport,
     /// Limits that endpoints have named.
     pub limits: Vec<LimitStatement>,
+    /// Endpoints that have said that they leave.
+    #[serde(default)]
+    pub leaving: Vec<LeavingStatement>,
 }
 
 #[derive(Clone, Debug)]
@@ -62,12 +66,14 @@
     reports: HashMap<Arc<str>, EntryReport>,
     totals: HashMap<EndpointHash, u64>,
     limits: StatedLimits,
+    leaving: LeavingEndpoints,
 }
 
 impl LoadAggregator {
     /// Replaces the report of `entry` and returns the sum over all other entries.
     ///
-    /// Limits are not summed: the newest statement of each endpoint is kept and returned.
+    /// Limits are not summed: the newest statement of each endpoint is kept and returned. Endpoints
+    /// that leave are kept and returned for as long as entries tell each other of them.
     pub fn exchange(
         &mut self,
         now: TimePoint,
@@ -76,6 +82,8 @@
     ) -> LoadSummary {
         self.limits.merge(now, &std::mem::take(&mut load.limits));
         let limits = self.limits.statements(now);
+        self.leaving.merge(now, &std::mem::take(&mut load.leaving));
+        let leaving = self.leaving.statements(now);
         self.drop_expired(now);
         self.drop_report(entry);
         let peer_work = self.totals.iter().map(|(endpoint, total)| WaitingWork {
@@ -97,6 +105,7 @@
             work,
             event_gap,
             limits,
+            leaving,
         }
     }
 
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -11,6 +11,7 @@
 mod escalation;
 mod event_gap;
 mod health;
+mod leaving_endpoints;
 mod load_aggregation;
 mod placement;
 mod queue_delay;
@@ -41,6 +42,7 @@
 };
 pub use event_gap::{EventGapReport, EventGapTracker, IdleGap};
 pub use health::{HealthSettings, PoolHealth};
+pub use leaving_endpoints::{EndpointProcess, LeavingEndpoints, LeavingStatement};
 pub use load_aggregation::{EndpointHash, LoadAggregator, LoadSummary, WaitingWork, endpoint_hash};
 pub use placement::{
     EndpointCandidate, ModelLane, PlacementRequest, PlacementSettings, SelectedEndpoint,
--- a/crates/core/tests/routing/main.rs
+++ b/crates/core/tests/routing/main.rs
@@ -10,6 +10,7 @@
 mod fixture;
 mod health;
 mod journal;
+mod leaving_endpoints;
 mod load_aggregation;
 mod placement;
 mod rate_limits;
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -254,7 +254,9 @@
         if state.record_limit(now, id, sent_at, head.limit_per_s) {
             context.load_exchange.notify_changed();
         }
-        state.record_self_report(now, id, head.self_report);
+        if state.record_self_report(now, &response.guard.endpoint, head.self_report) {
+            context.load_exchange.notify_changed();
+        }
     }
     if head.execution != ExecutionStatus::MayHaveRun {
         let is_misdirected = head.execution == ExecutionStatus::Misdirected;
--- a/crates/entry/src/forward/choice.rs
+++ b/crates/entry/src/forward/choice.rs
@@ -68,6 +68,8 @@
 pub struct ChosenEndpoint {
     /// Name of the endpoint.
     pub id: Arc<str>,
+    /// Start time of its process in Unix milliseconds, by its own clock.
+    pub born_ms: u64,
     /// `IP:port`.
     pub address: Arc<str>,
     /// Service version that it runs.
@@ -261,6 +263,7 @@
         };
         Ok(ChosenEndpoint {
             id: Arc::clone(&notice.id),
+            born_ms: notice.born_ms,
             address: Arc::clone(&notice.address),
             version: Arc::clone(&notice.version),
             prefill,
--- a/crates/entry/src/forward/metrics.rs
+++ b/crates/entry/src/forward/metrics.rs
@@ -36,6 +36,7 @@
     waiting_work: Gauge<f64>,
     blocked_segments: Gauge<u64>,
     limited_endpoints: Gauge<u64>,
+    leaving_endpoints: Gauge<u64>,
     body_memory: Gauge<u64>,
 }
 
@@ -58,6 +59,8 @@
     pub blocked_segments: usize,
     /// Number of endpoints that have named a limit.
     pub limited_endpoints: usize,
+    /// Endpoints that have said that they leave.
+    pub leaving_endpoints: usize,
     /// Memory reserved for bodies, in bytes.
     pub body_bytes: usize,
 }
@@ -122,6 +125,10 @@
                 "chestnutloft.endpoints.limited",
                 "Endpoints that have named a call rate",
             ),
+            leaving_endpoints: gauge(
+                "chestnutloft.endpoints.leaving",
+                "Endpoints that have said that they leave",
+            ),
             body_memory: gauge("chestnutloft.body_memory", "Bytes reserved for bodies"),
             page,
         }
@@ -217,6 +224,8 @@
             .record(gauges.blocked_segments as u64, &[]);
         self.limited_endpoints
             .record(gauges.limited_endpoints as u64, &[]);
+        self.leaving_endpoints
+            .record(gauges.leaving_endpoints as u64, &[]);
         self.body_memory.record(gauges.body_bytes as u64, &[]);
         self.page.text()
     }
@@ -248,6 +257,7 @@
                 .sum(),
             blocked_segments: self.segments.blocked_count(),
             limited_endpoints: self.stated_limits.count(),
+            leaving_endpoints: self.leaving_count(),
             body_bytes: 0,
         }
     }
--- a/crates/entry/src/forward/outcomes.rs
+++ b/crates/entry/src/forward/outcomes.rs
@@ -4,21 +4,32 @@
 use std::time::Duration;
 
 use chestnutloft_core::routing::{
-    ArmCount, ArmKey, EndpointPhase, LoadSummary, WaitingWork, endpoint_hash,
+    ArmCount, ArmKey, EndpointPhase, EndpointProcess, LoadSummary, WaitingWork, endpoint_hash,
 };
 use chestnutloft_core::time::TimePoint;
 
 use super::choice::ChosenEndpoint;
 use super::codec::{ReportedLoad, SelfReport};
-use super::state::{EntryState, LoadReport};
+use super::state::{EndpointState, EntryState, LoadReport};
 
 impl EntryState {
-    /// Records what an endpoint said of itself with an answer.
-    pub fn record_self_report(&mut self, now: TimePoint, id: &str, report: SelfReport) {
-        let Some(endpoint) = self.endpoints.get_mut(id) else {
-            return;
+    /// Records what an endpoint said of itself with an answer, unless the process that answered has
+    /// been replaced since. Returns whether the other entries should hear of it.
+    pub fn record_self_report(
+        &mut self,
+        now: TimePoint,
+        chosen: &ChosenEndpoint,
+        report: SelfReport,
+    ) -> bool {
+        let id = &chosen.id;
+        let is_same = |endpoint: &&mut EndpointState| endpoint.notice.born_ms == chosen.born_ms;
+        let Some(endpoint) = self.endpoints.get_mut(id).filter(is_same) else {
+            return false;
         };
-        if report.is_leaving && !std::mem::replace(&mut endpoint.is_leaving, true) {
+        let is_news = report.is_leaving && !std::mem::replace(&mut endpoint.is_leaving, true);
+        if is_news {
+            let process = EndpointProcess::new(id, chosen.born_ms);
+            self.leaving.hear(now, process);
             spdlog::info!("health: endpoint {id} says that it leaves; it gets no further calls.");
         }
         if let Some(rest) = report.rest
@@ -29,6 +40,7 @@
                 rest.as_millis()
             );
         }
+        is_news
     }
 
     /// Records that the response to an attempt has begun after `took`.
@@ -73,6 +85,7 @@
             work: self.waiting_work(),
             event_gap: self.large_model_event_gap.report(now),
             limits: self.stated_limits.statements(now),
+            leaving: self.leaving.statements(now),
         }
     }
 
@@ -81,6 +94,24 @@
         self.queue_delays.set_peer_work(now, &peers.work);
         self.peer_event_gap = peers.event_gap;
         self.stated_limits.merge(now, &peers.limits);
+        let leaving = self.leaving.merge(now, &peers.leaving);
+        if !leaving.is_empty() {
+            self.spare_leaving(&leaving);
+        }
+    }
+
+    /// Marks the endpoints that have told other entries that they leave.
+    fn spare_leaving(&mut self, leaving: &[EndpointProcess]) {
+        for endpoint in self.endpoints.values_mut() {
+            let notice = &endpoint.notice;
+            let process = EndpointProcess::new(&notice.id, notice.born_ms);
+            if leaving.contains(&process) && !std::mem::replace(&mut endpoint.is_leaving, true) {
+                spdlog::info!(
+                    "health: endpoint {} has told another entry that it leaves; it gets no further calls.",
+                    endpoint.notice.id
+                );
+            }
+        }
     }
 
     /// Counts an attempt as in flight, with prefill work of `work_ms` milliseconds.
--- a/crates/entry/src/forward/state.rs
+++ b/crates/entry/src/forward/state.rs
@@ -6,11 +6,11 @@
 use std::time::Duration;
 
 use chestnutloft_core::routing::{
-    ArmCount, ArmKey, EndpointNotice, EndpointPhase, EndpointRateLimiter, EndpointRest,
-    EventGapReport, EventGapTracker, HealthSettings, IdleGap, PlacementSettings, PoolHealth,
-    PrefillTimeEstimator, QueueDelayEstimator, RolloutStage, RolloutState, RouteDeclaration,
-    RouteTable, RoutingRevision, RoutingUpdate, SegmentAdmission, SegmentKnowledge,
-    ServiceRetryBudget, ServiceRetrySettings, SessionVersions, StatedLimits,
+    ArmCount, ArmKey, EndpointNotice, EndpointPhase, EndpointProcess, EndpointRateLimiter,
+    EndpointRest, EventGapReport, EventGapTracker, HealthSettings, IdleGap, LeavingEndpoints,
+    PlacementSettings, PoolHealth, PrefillTimeEstimator, QueueDelayEstimator, RolloutStage,
+    RolloutState, RouteDeclaration, RouteTable, RoutingRevision, RoutingUpdate, SegmentAdmission,
+    SegmentKnowledge, ServiceRetryBudget, ServiceRetrySettings, SessionVersions, StatedLimits,
 };
 use chestnutloft_core::time::TimePoint;
 
@@ -103,6 +103,8 @@
     pub(super) has_new_arm_counts: bool,
     /// Call rates that endpoints name for all entries together.
     pub(super) stated_limits: StatedLimits,
+    /// Endpoints that have told this entry or a peer that they leave.
+    pub(super) leaving: LeavingEndpoints,
     /// Prompt segments that make endpoints fail.
     pub segments: SegmentKnowledge,
 }
@@ -144,6 +146,7 @@
             arms: HashMap::new(),
             has_new_arm_counts: false,
             stated_limits: StatedLimits::default(),
+            leaving: LeavingEndpoints::default(),
             segments: SegmentKnowledge::default(),
         }
     }
@@ -217,8 +220,8 @@
     }
 
     /// Adds, updates or removes an endpoint. One that has deregistered is kept until its last
-    /// attempt has ended; one with a new start time loses what was recorded about the previous
-    /// process.
+    /// attempt has ended; one with a new start time or address loses what was recorded about the
+    /// previous process.
     fn apply_endpoint(&mut self, notice: EndpointNotice, cold_until: TimePoint) {
         let known = self.endpoints.get_mut(&notice.id);
         if notice.phase == EndpointPhase::Gone {
@@ -232,12 +235,16 @@
             }
             return;
         }
+        let process = EndpointProcess::new(&notice.id, notice.born_ms);
+        let is_leaving = self.leaving.contains(process);
         if let Some(known) = known {
-            if known.notice.born_ms != notice.born_ms {
+            let is_same_process =
+                known.notice.born_ms == notice.born_ms && known.notice.address == notice.address;
+            if !is_same_process {
                 self.health.forget(&notice.id);
                 known.report = None;
                 known.is_misdirected = false;
-                known.is_leaving = false;
+                known.is_leaving = is_leaving;
                 known.rest = EndpointRest::default();
             }
             known.notice = notice;
@@ -249,7 +256,7 @@
                 in_flight: 0,
                 report: None,
                 is_misdirected: false,
-                is_leaving: false,
+                is_leaving,
                 rest: EndpointRest::default(),
             };
             let id = Arc::clone(&endpoint.notice.id);
@@ -313,6 +320,12 @@
             .count()
     }
 
+    /// Number of endpoints that have told this entry or a peer that they leave.
+    pub fn leaving_count(&self) -> usize {
+        let endpoints = self.endpoints.values();
+        endpoints.filter(|endpoint| endpoint.is_leaving).count()
+    }
+
     /// Whether the entry has a declaration that is recent enough to serve by.
     pub fn is_ready(&self, now: TimePoint) -> bool {
         self.declaration.number > 0 && self.is_current(now)
--- a/crates/entry/tests/state.rs
+++ b/crates/entry/tests/state.rs
@@ -1,18 +1,21 @@
-//! Endpoint choice of an entry during roll-outs, and ends of endpoints, without a network.
+//! Endpoint choice of an entry during roll-outs, ends of endpoints, and what endpoints say of
+//! themselves, without a network.
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
 use chestnutloft_core::routing::{
-    DeclarationUpdate, DirectoryChange, EndedEndpoint, EndpointNotice, EndpointPhase, LostCall,
-    ModelLane, PoolEndpoint, RolloutOrder, RolloutStage, RolloutState, RoutingUpdate, ServiceRule,
-    SessionHash, session_hash,
+    DeclarationUpdate, DirectoryChange, EndedEndpoint, EndpointNotice, EndpointPhase,
+    EndpointProcess, LeavingStatement, LoadSummary, LostCall, ModelLane, PoolEndpoint,
+    RolloutOrder, RolloutStage, RolloutState, RoutingUpdate, ServiceRule, SessionHash,
+    session_hash,
 };
 use chestnutloft_core::time::TimePoint;
 use chestnutloft_entry::forward::choice::{
     ChosenEndpoint, NoEndpoint, PromptSize, SelectionRequest,
 };
+use chestnutloft_entry::forward::codec::SelfReport;
 use chestnutloft_entry::forward::settings::ForwardSettings;
 use chestnutloft_entry::forward::state::EntryState;
 
@@ -251,3 +254,77 @@
     assert!(has_news);
     assert_eq!(state.segments.take_due_ends(at(300))[0].born_ms, 1);
 }
+
+/// An update with one change of the endpoint "old".
+fn endpoint_update(index: u64, born_ms: u64, phase: EndpointPhase) -> RoutingUpdate {
+    let mut change = endpoint("old", "v1", 1, 0);
+    change.endpoint.notice.born_ms = born_ms;
+    change.endpoint.notice.phase = phase;
+    RoutingUpdate {
+        index,
+        endpoints: vec![change],
+        ..RoutingUpdate::default()
+    }
+}
+
+const LEAVING: SelfReport = SelfReport {
+    is_leaving: true,
+    rest: None,
+};
+
+/// Guards against calls to an endpoint that has told this entry that it leaves, where the state of
+/// the keepers does not know it yet, or has removed and added the endpoint meanwhile.
+#[test]
+fn no_state_of_the_keepers_brings_back_a_process_that_leaves() {
+    let mut state = state_with_v1_endpoint();
+    let chosen = choose(&mut state, at(10), 1).expect("an endpoint");
+
+    state.record_self_report(at(20), &chosen, LEAVING);
+    state.apply(at(30), at(30), endpoint_update(2, 1, EndpointPhase::Ready));
+    let after_update = choose(&mut state, at(30), 1);
+    state.apply(at(40), at(40), endpoint_update(3, 1, EndpointPhase::Gone));
+    state.apply(at(50), at(50), endpoint_update(4, 1, EndpointPhase::Ready));
+    let after_return = choose(&mut state, at(50), 1);
+
+    assert_eq!(after_update, Err(NoEndpoint::NoneReady));
+    assert_eq!(after_return, Err(NoEndpoint::NoneReady));
+}
+
+/// Guards against an endpoint that stays unused because its previous process answered late.
+#[test]
+fn late_answer_of_a_replaced_process_says_nothing_about_its_successor() {
+    let mut state = state_with_v1_endpoint();
+    let chosen = choose(&mut state, at(10), 1).expect("an endpoint");
+    state.apply(at(20), at(20), endpoint_update(2, 2, EndpointPhase::Ready));
+    let report = SelfReport {
+        rest: Some(Duration::from_mins(1)),
+        ..LEAVING
+    };
+
+    let is_news = state.record_self_report(at(30), &chosen, report);
+
+    assert!(!is_news);
+    assert!(choose(&mut state, at(30), 1).is_ok());
+}
+
+/// Guards against calls to an endpoint that has told another entry that it leaves.
+#[test]
+fn endpoint_that_leaves_by_the_word_of_a_peer_gets_calls_after_its_next_start() {
+    let mut state = state_with_v1_endpoint();
+    let statement = LeavingStatement {
+        process: EndpointProcess::new("old", 1),
+        age_ms: 5,
+    };
+    let peers = LoadSummary {
+        leaving: vec![statement],
+        ..LoadSummary::default()
+    };
+
+    state.apply_peer_load(at(10), &peers);
+    let before_start = choose(&mut state, at(10), 1);
+    state.apply(at(20), at(20), endpoint_update(2, 2, EndpointPhase::Ready));
+    let after_start = choose(&mut state, at(20), 1);
+
+    assert_eq!(before_start, Err(NoEndpoint::NoneReady));
+    assert!(after_start.is_ok());
+}
