Drop a serde attribute that the exchange's format ignores

Cause: the load exchange is encoded by position (postcard), where a missing last field is an error whatever the attribute says. An entry and a keeper of different builds exchange no load meanwhile, as with each field before.

--- a/crates/core/src/routing/load_aggregation.rs
+++ b/crates/core/src/routing/load_aggregation.rs
@@ -50,7 +50,6 @@
     /// Limits that endpoints have named.
     pub limits: Vec<LimitStatement>,
     /// Endpoints that have said that they leave.
-    #[serde(default)]
     pub leaving: Vec<LeavingStatement>,
 }
 
