Carry out a roll-out that is ordered again after a roll-back

Cause: `RoutingState::start_rollout` took an order that equals the service's last one for the same order sent again, whatever the stage of that one and however long ago.

Fix: an operator sends an order again for a limited time. The leader takes an equal order as a new one once it has seen the roll-back for 5 s (`order_resend`) and commits `RestartRollout`. Entries drop their counts of that version, the leader ignores counts of entries that have not learned of the new order, and the clock of the first roll-out ends with it: otherwise the second one would be rolled back or completed by what the first one left. A completed one is acknowledged and stays completed.

--- a/crates/core/src/routing/state.rs
+++ b/crates/core/src/routing/state.rs
@@ -53,6 +53,8 @@
     },
     /// Blocks or releases a prompt segment.
     ChangeSegment(SegmentChange),
+    /// Starts a roll-out, also if an equal one was rolled back.
+    RestartRollout(RolloutOrder),
 }
 
 /// A declaration together with the text that the operator submitted.
@@ -154,6 +156,9 @@
                 stage,
                 elapsed_ms,
             } => self.advance_rollout(index, service, target, *stage, *elapsed_ms),
+            RoutingCommand::RestartRollout(order) => {
+                (RoutingOutcome::Accepted, self.restart_rollout(index, order))
+            }
             RoutingCommand::ChangeSegment(change) => (
                 RoutingOutcome::Accepted,
                 self.change_segment(index, *change),
@@ -230,6 +235,17 @@
         !is_duplicate
     }
 
+    fn restart_rollout(&mut self, index: ChangeIndex, order: &RolloutOrder) -> bool {
+        if self
+            .rollouts
+            .get(&order.service)
+            .is_some_and(|rollout| rollout.stage == RolloutStage::RolledBack)
+        {
+            self.rollouts.remove(&order.service);
+        }
+        self.start_rollout(index, order)
+    }
+
     fn advance_rollout(
         &mut self,
         index: ChangeIndex,
--- a/crates/core/tests/routing/state.rs
+++ b/crates/core/tests/routing/state.rs
@@ -172,3 +172,38 @@
     assert_eq!(outcome, RoutingOutcome::Overtaken);
     assert_eq!(state.rollouts["orders"].stage, RolloutStage::RolledBack);
 }
+
+fn move_to(stage: RolloutStage) -> RoutingCommand {
+    RoutingCommand::MoveRollout {
+        service: Arc::from("orders"),
+        target: Arc::from("v2"),
+        stage,
+        elapsed_ms: 9_000,
+    }
+}
+
+/// Guards against an order that is acknowledged and never carried out.
+#[test]
+fn roll_out_that_was_rolled_back_starts_again() {
+    let mut state = RoutingState::default();
+    state.apply(1, &RoutingCommand::StartRollout(order("v2")));
+    state.apply(2, &move_to(RolloutStage::RolledBack));
+
+    state.apply(3, &RoutingCommand::RestartRollout(order("v2")));
+    state.apply(4, &RoutingCommand::RestartRollout(order("v2")));
+
+    let rollout = &state.rollouts["orders"];
+    assert_eq!(rollout.stage, RolloutStage::Trial);
+    assert_eq!((rollout.elapsed_ms, rollout.changed_at), (0, 3));
+}
+
+#[test]
+fn completed_roll_out_does_not_start_again() {
+    let mut state = RoutingState::default();
+    state.apply(1, &RoutingCommand::StartRollout(order("v2")));
+    state.apply(2, &move_to(RolloutStage::Completed));
+
+    state.apply(3, &RoutingCommand::RestartRollout(order("v2")));
+
+    assert_eq!(state.rollouts["orders"].stage, RolloutStage::Completed);
+}
--- a/crates/entry/src/forward/state.rs
+++ b/crates/entry/src/forward/state.rs
@@ -285,7 +285,10 @@
         for rollout in rollouts {
             let service = Arc::clone(&rollout.order.service);
             let known = self.rollouts.get(&service);
-            let is_new = known.is_none_or(|known| known.order != rollout.order);
+            let is_new = known.is_none_or(|known| {
+                let is_trial = rollout.stage == RolloutStage::Trial;
+                known.order != rollout.order || is_trial && known.changed_at < rollout.changed_at
+            });
             if known.is_some_and(|known| *known == rollout) {
                 continue;
             }
@@ -295,6 +298,15 @@
                 rollout.stage
             );
             if is_new {
+                let is_repeat =
+                    known.is_some_and(|known| known.order.target == rollout.order.target);
+                if is_repeat {
+                    let is_target = |key: &ArmKey| {
+                        key.service == service && key.version == rollout.order.target
+                    };
+                    self.arms.retain(|key, _| !is_target(key));
+                    self.has_new_arm_counts = true;
+                }
                 self.rollouts_known_at.insert(Arc::clone(&service), now);
             }
             if is_new || rollout.stage.is_final() {
--- a/crates/entry/tests/state.rs
+++ b/crates/entry/tests/state.rs
@@ -226,6 +226,31 @@
     assert!(first.is_some());
 }
 
+/// Guards against a second roll-out that ends by the failures of the first one.
+#[test]
+fn outcomes_of_a_roll_out_that_was_rolled_back_do_not_count_for_the_next() {
+    let mut state = state_with_v1_endpoint();
+    start_trial(&mut state, at(10), Vec::new());
+    let record = |state: &mut EntryState, version: &str| {
+        state.record_arm(&Arc::from("llm"), &Arc::from(version), "r", None);
+    };
+    record(&mut state, "v1");
+    record(&mut state, "v2");
+    for (index, stage) in [(3, RolloutStage::RolledBack), (4, RolloutStage::Trial)] {
+        let update = RoutingUpdate {
+            index,
+            rollouts: Some(vec![rollout(stage, index)]),
+            ..RoutingUpdate::default()
+        };
+        state.apply(at(index), at(index), update);
+    }
+
+    let counts = state.take_arm_counts().expect("counts");
+
+    let versions: Vec<&str> = counts.iter().map(|(key, _)| &*key.version).collect();
+    assert_eq!(versions, ["v1"]);
+}
+
 #[test]
 fn an_end_that_is_known_elsewhere_belongs_to_the_process_that_ended() {
     let mut state = state_with_v1_endpoint();
--- a/crates/keeper/src/actor.rs
+++ b/crates/keeper/src/actor.rs
@@ -11,7 +11,7 @@
     MemberChange, PeerMessage, ProposalError, ReadyBatch, ReplicaCore, ReplicaId, SavedPoint,
 };
 use chestnutloft_core::ledger::LedgerSettings;
-use chestnutloft_core::routing::EndpointNotice;
+use chestnutloft_core::routing::{EndpointNotice, RolloutOrder};
 use chestnutloft_core::state::{
     EntryHeartbeat, GrantTable, KeeperCommand, LeaseGrant, LiveEntry, live_hash,
 };
@@ -64,6 +64,8 @@
     Routing(oneshot::Sender<RoutingReply>),
     /// Announcement of an endpoint.
     Announce(EndpointNotice, oneshot::Sender<RunReply>),
+    /// Order of a roll-out.
+    StartRollout(RolloutOrder, oneshot::Sender<RunReply>),
     /// Long poll of an entry for changes of the routing state.
     Watch(WatchCall, oneshot::Sender<WatchReply>),
     /// Request of another keeper to become a member.
@@ -218,6 +220,7 @@
                 let _ = reply.send(self.routing(now));
             }
             ReplicaMessage::Announce(notice, reply) => self.announce(now, notice, reply),
+            ReplicaMessage::StartRollout(order, reply) => self.start_rollout(now, order, reply),
             ReplicaMessage::Watch(call, reply) => self.watch(now, call, reply),
             ReplicaMessage::Join(call, reply) => {
                 let _ = reply.send(self.join(now, call));
--- a/crates/keeper/src/actor_routing.rs
+++ b/crates/keeper/src/actor_routing.rs
@@ -4,7 +4,9 @@
 use ractor::ActorRef;
 use tokio::sync::oneshot;
 
-use chestnutloft_core::routing::{EndpointNotice, NoticeOutcome, RoutingCommand, RoutingOutcome};
+use chestnutloft_core::routing::{
+    EndpointNotice, NoticeOutcome, RolloutOrder, RoutingCommand, RoutingOutcome,
+};
 use chestnutloft_core::state::{KeeperCommand, KeeperOutcome};
 use chestnutloft_core::time::TimePoint;
 use chestnutloft_wire::message::{JoinCall, JoinReply, RunReply, WatchCall, WatchReply};
@@ -83,6 +85,17 @@
         }
     }
 
+    pub(super) fn start_rollout(
+        &mut self,
+        now: TimePoint,
+        order: RolloutOrder,
+        reply: oneshot::Sender<RunReply>,
+    ) {
+        let routing = &self.state_machine.state().routing;
+        let command = self.coordinator.rollout_command(now, routing, order);
+        self.submit_commands(now, vec![KeeperCommand::Routing(Box::new(command))], reply);
+    }
+
     pub(super) fn watch(
         &mut self,
         now: TimePoint,
--- a/crates/keeper/src/control.rs
+++ b/crates/keeper/src/control.rs
@@ -130,7 +130,8 @@
                 self.commit(RoutingCommand::Declare(stored)).await
             }
             ControlCall::StartRollout(order) => {
-                self.commit(RoutingCommand::StartRollout(order)).await
+                let answer = self.ask(|reply| ReplicaMessage::StartRollout(order, reply));
+                self.committed(answer.await)
             }
             ControlCall::Evacuate { domain, is_out } => {
                 self.commit(RoutingCommand::Evacuate { domain, is_out })
@@ -156,7 +157,11 @@
 
     async fn commit(&self, command: RoutingCommand) -> ControlAnswer {
         let commands = vec![KeeperCommand::Routing(Box::new(command))];
-        match self.ask(|reply| ReplicaMessage::Run(commands, reply)).await {
+        self.committed(self.ask(|reply| ReplicaMessage::Run(commands, reply)).await)
+    }
+
+    fn committed(&self, reply: Option<RunReply>) -> ControlAnswer {
+        match reply {
             Some(reply) => self.outcome(reply, ControlAnswer::Done),
             None => ControlAnswer::Unavailable("the replica has stopped"),
         }
--- a/crates/keeper/src/routing_coordinator.rs
+++ b/crates/keeper/src/routing_coordinator.rs
@@ -12,8 +12,8 @@
 use chestnutloft_core::routing::{
     ArmCount, ArmKey, CanaryAnalysis, CanaryThresholds, ChangeIndex, DeclarationUpdates,
     DirectoryChange, EndpointEnd, EndpointNotice, EndpointPhase, NoticeOutcome, PoolEndpoint,
-    RolloutStage, RolloutTiming, RoutingCommand, RoutingState, SegmentFaultDetector,
-    SegmentFaultSettings, SessionHash, VersionVerdict,
+    RolloutOrder, RolloutStage, RolloutState, RolloutTiming, RoutingCommand, RoutingState,
+    SegmentFaultDetector, SegmentFaultSettings, SessionHash, VersionVerdict,
 };
 use chestnutloft_core::time::TimePoint;
 use chestnutloft_wire::message::{
@@ -36,6 +36,10 @@
     /// Time since the last announcement after which an endpoint is removed, in milliseconds.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub endpoint_silence: Duration,
+    /// Time for which operators may send the same order again because they got no answer, in
+    /// milliseconds. An order that equals one that was rolled back longer ago is a new one.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub order_resend: Duration,
 }
 
 impl Default for CoordinatorSettings {
@@ -44,6 +48,7 @@
             watch_wait: Duration::from_millis(400),
             entry_silence: Duration::from_secs(12),
             endpoint_silence: Duration::from_secs(30),
+            order_resend: Duration::from_secs(5),
         }
     }
 }
@@ -71,8 +76,11 @@
     received_at: TimePoint,
     /// Last change of the routing state that the entry has.
     confirmed: ChangeIndex,
-    /// Outcomes on versions under roll-out, counted since the entry started.
+    /// Outcomes on versions under roll-out, counted since the entry started or learned of the
+    /// roll-out to a version that had been rolled back.
     arms: Vec<(ArmKey, ArmCount)>,
+    /// Last change of the routing state that the entry had when it reported `arms`.
+    arms_index: ChangeIndex,
     bound_sessions: Vec<SessionHash>,
 }
 
@@ -81,6 +89,15 @@
     started_at: TimePoint,
     /// When the progress was last replicated.
     recorded_at: TimePoint,
+    /// Change that started the roll-out; 0 if this keeper does not know it.
+    order_index: ChangeIndex,
+}
+
+/// End of a roll-out as this keeper saw it.
+#[derive(Clone, Copy, Debug)]
+struct RolloutEnd {
+    index: ChangeIndex,
+    seen_at: TimePoint,
 }
 
 /// Coordinates endpoints, watching entries and roll-outs on the leader.
@@ -92,6 +109,8 @@
     entry_reports: BTreeMap<Arc<str>, EntryReport>,
     /// Clock of each running roll-out, by service and target version.
     rollout_clocks: HashMap<(Arc<str>, Arc<str>), RolloutClock>,
+    /// End of the last roll-out of each service.
+    rollout_ends: HashMap<Arc<str>, RolloutEnd>,
     keepers: Vec<String>,
     leader_since: TimePoint,
     segment_faults: SegmentFaultDetector,
@@ -109,6 +128,7 @@
             watches: Vec::new(),
             entry_reports: BTreeMap::new(),
             rollout_clocks: HashMap::new(),
+            rollout_ends: HashMap::new(),
             keepers: Vec::new(),
             leader_since: TimePoint::ZERO,
             segment_faults: SegmentFaultDetector::new(SegmentFaultSettings::default()),
@@ -140,14 +160,15 @@
                 Arc::clone(&rollout.order.target),
             );
             let replicated_start = now - Duration::from_millis(rollout.elapsed_ms);
-            let clock = self
-                .rollout_clocks
-                .get(&key)
-                .copied()
-                .unwrap_or(RolloutClock {
-                    started_at: replicated_start,
-                    recorded_at: now,
-                });
+            let is_trial = rollout.stage == RolloutStage::Trial;
+            let order_index = if is_trial { rollout.changed_at } else { 0 };
+            let known = self.rollout_clocks.get(&key).copied();
+            let is_same = |clock: &RolloutClock| !is_trial || clock.order_index == order_index;
+            let clock = known.filter(is_same).unwrap_or(RolloutClock {
+                started_at: replicated_start,
+                recorded_at: now,
+                order_index,
+            });
             let started_at = clock.started_at.min(replicated_start);
             clocks.insert(
                 key,
@@ -158,6 +179,50 @@
             );
         }
         self.rollout_clocks = clocks;
+        self.update_rollout_ends(now, state);
+    }
+
+    fn update_rollout_ends(&mut self, now: TimePoint, state: &RoutingState) {
+        let ended = state
+            .rollouts
+            .values()
+            .filter(|rollout| rollout.stage.is_final());
+        let end = |rollout: &RolloutState| {
+            let service = &rollout.order.service;
+            let known = self.rollout_ends.get(service).copied();
+            let known = known.filter(|end| end.index == rollout.changed_at);
+            let new = RolloutEnd {
+                index: rollout.changed_at,
+                seen_at: now,
+            };
+            (Arc::clone(service), known.unwrap_or(new))
+        };
+        self.rollout_ends = ended.map(end).collect();
+    }
+
+    /// Command for an operator's order: a new roll-out, or nothing new if the order may have been
+    /// sent again because its answer was lost.
+    pub fn rollout_command(
+        &self,
+        now: TimePoint,
+        state: &RoutingState,
+        order: RolloutOrder,
+    ) -> RoutingCommand {
+        let is_rolled_back = state.rollouts.get(&order.service).is_some_and(|rollout| {
+            rollout.order == order && rollout.stage == RolloutStage::RolledBack
+        });
+        let end = self.rollout_ends.get(&order.service);
+        let ended_for = end.map_or(Duration::ZERO, |end| now.since(end.seen_at));
+        if !is_rolled_back || ended_for < self.settings.order_resend {
+            return RoutingCommand::StartRollout(order);
+        }
+        spdlog::info!(
+            "rollout: service {} to version {} is ordered again, {} ms after it was rolled back.",
+            order.service,
+            order.target,
+            ended_for.as_millis()
+        );
+        RoutingCommand::RestartRollout(order)
     }
 
     /// Redirects all watching entries to the leader, because this keeper is not serving as one.
@@ -217,6 +282,7 @@
                     received_at: now,
                     confirmed: 0,
                     arms: Vec::new(),
+                    arms_index: 0,
                     bound_sessions: Vec::new(),
                 }
             });
@@ -232,6 +298,7 @@
         report.bound_sessions = std::mem::take(&mut call.bound_sessions);
         if let Some(arms) = call.arms.take() {
             report.arms = arms;
+            report.arms_index = call.known.index;
         }
         for end in std::mem::take(&mut call.ends) {
             spdlog::info!(
@@ -416,7 +483,10 @@
             };
             let elapsed_ms = now.millis_since(clock.started_at);
             let mut analysis = CanaryAnalysis::new(CanaryThresholds::default());
-            for (key, count) in self.entry_reports.values().flat_map(|report| &report.arms) {
+            // Entries that have not learned of the order yet still count an earlier roll-out.
+            let reports = self.entry_reports.values();
+            let reports = reports.filter(|report| report.arms_index >= clock.order_index);
+            for (key, count) in reports.flat_map(|report| &report.arms) {
                 analysis.add(key, count);
             }
             let due_stage = match analysis.evaluate(&order.service, &order.target) {
--- a/crates/keeper/tests/routing_coordinator.rs
+++ b/crates/keeper/tests/routing_coordinator.rs
@@ -5,9 +5,9 @@
 use tokio::sync::oneshot;
 
 use chestnutloft_core::routing::{
-    EndpointNotice, EndpointPhase, NoticeOutcome, RolloutOrder, RolloutStage, RouteDeclaration,
-    RoutingCommand, RoutingRevision, RoutingState, SegmentSuspicions, ServiceRule,
-    StoredDeclaration,
+    ArmCount, ArmKey, EndpointNotice, EndpointPhase, NoticeOutcome, RolloutOrder, RolloutStage,
+    RouteDeclaration, RoutingCommand, RoutingRevision, RoutingState, SegmentSuspicions,
+    ServiceRule, StoredDeclaration,
 };
 use chestnutloft_core::time::TimePoint;
 use chestnutloft_keeper::routing_coordinator::{CoordinatorSettings, RoutingCoordinator};
@@ -99,6 +99,78 @@
     assert_eq!(stages(&commands), vec![RolloutStage::Completed]);
 }
 
+fn move_to(stage: RolloutStage) -> RoutingCommand {
+    RoutingCommand::MoveRollout {
+        service: order().service,
+        target: order().target,
+        stage,
+        elapsed_ms: 2_000,
+    }
+}
+
+/// A leader of a state with a roll-out that was rolled back at 0 ms.
+fn leader_after_roll_back() -> (RoutingCoordinator, RoutingState) {
+    let mut state = state();
+    let mut coordinator = RoutingCoordinator::new(CoordinatorSettings::default());
+    coordinator.start_leading(at(0));
+    coordinator.update_rollout_clocks(at(0), &state);
+    state.apply(3, &move_to(RolloutStage::RolledBack));
+    coordinator.update_rollout_clocks(at(0), &state);
+    (coordinator, state)
+}
+
+/// Guards against an order that is acknowledged and never carried out.
+#[test]
+fn order_after_a_roll_back_is_new_once_it_cannot_be_a_resent_one() {
+    let (coordinator, state) = leader_after_roll_back();
+
+    let resent = coordinator.rollout_command(at(4_999), &state, order());
+    let new = coordinator.rollout_command(at(5_000), &state, order());
+
+    assert_eq!(resent, RoutingCommand::StartRollout(order()));
+    assert_eq!(new, RoutingCommand::RestartRollout(order()));
+}
+
+#[test]
+fn order_that_is_carried_out_is_not_new() {
+    let state = state();
+    let mut coordinator = RoutingCoordinator::new(CoordinatorSettings::default());
+    coordinator.start_leading(at(0));
+    coordinator.update_rollout_clocks(at(0), &state);
+
+    let command = coordinator.rollout_command(at(20_000), &state, order());
+
+    assert_eq!(command, RoutingCommand::StartRollout(order()));
+}
+
+/// Guards against a second roll-out that ends by the failures and the time of the first one.
+#[test]
+fn roll_out_that_starts_again_counts_neither_time_nor_failures_of_the_first() {
+    let (mut coordinator, mut state) = leader_after_roll_back();
+    let key = ArmKey {
+        service: order().service,
+        version: order().target,
+        route: Arc::from("r"),
+    };
+    let mut failures = ArmCount::default();
+    (0..20).for_each(|_| failures.record(None));
+    let mut report = call("entry-1", 0, Vec::new());
+    report.rollouts.clear();
+    report.known.index = 3;
+    report.arms = Some(vec![(key, failures)]);
+    state.apply(4, &RoutingCommand::RestartRollout(order()));
+    coordinator.update_rollout_clocks(at(9_000), &state);
+
+    watch(&mut coordinator, &state, report.clone());
+    let early = coordinator.due_commands(at(10_500), &state);
+    report.known.index = 4;
+    watch(&mut coordinator, &state, report);
+    let late = coordinator.due_commands(at(11_000), &state);
+
+    assert_eq!(stages(&early), vec![RolloutStage::Trial]);
+    assert_eq!(stages(&late), vec![RolloutStage::RolledBack]);
+}
+
 #[test]
 fn without_reports_the_replicated_elapsed_time_is_used() {
     let state = state();
