Use an endpoint again that was silent for 30 s and did not restart

An endpoint that is cut off from the keepers for longer than `endpoint_silence` is in good health and sends notices again, and gets no call until it restarts.

Cause: the leader ended it by the command that a deregistration commits, after which all notices of that start are ignored.

Fix: silence has a command of its own (`Expire`): the endpoint is out of use until its next notice. A deregistration, or another owner of the address, ends the process for good by the highest notice number, also after a silence. Entries remember for 10 minutes which processes said that they leave.

Tests: keeper `endpoint_that_was_cut_off_is_used_again_after_its_next_notice` failed before (Stale in place of Changes) and passes; core `routing`, 127 of 127.

--- a/crates/core/src/routing/directory.rs
+++ b/crates/core/src/routing/directory.rs
@@ -19,7 +19,7 @@
     Ready,
     /// Finishes its calls and accepts no new ones.
     Draining,
-    /// Has deregistered, or another endpoint has taken over its address.
+    /// Has deregistered or was silent for too long, or another endpoint has taken over its address.
     Gone,
 }
 
@@ -49,6 +49,14 @@
     pub cold_left_ms: u64,
 }
 
+impl EndpointNotice {
+    /// Ends the incarnation: all its notices count as earlier than this one.
+    fn end(&mut self) {
+        self.phase = EndpointPhase::Gone;
+        self.sequence = u64::MAX;
+    }
+}
+
 /// An endpoint as recorded in the directory.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PoolEndpoint {
@@ -106,8 +114,8 @@
         };
         let known = &known.notice;
         let order = (notice.born_ms, notice.sequence).cmp(&(known.born_ms, known.sequence));
-        if order.is_lt() || (notice.born_ms == known.born_ms && known.phase == EndpointPhase::Gone)
-        {
+        let is_known_end = order.is_eq() && known.phase == EndpointPhase::Gone;
+        if order.is_lt() || is_known_end {
             return NoticeOutcome::Stale;
         }
         let is_same = known.born_ms == notice.born_ms
@@ -163,12 +171,27 @@
                 && other.notice.address == notice.address
                 && other.notice.phase != EndpointPhase::Gone;
             if is_replaced {
-                other.notice.phase = EndpointPhase::Gone;
+                other.notice.end();
                 other.changed_at = index;
             }
         }
     }
 
+    /// Marks an endpoint as gone because it was silent, and returns whether that changed anything. The
+    /// next notice of the same incarnation brings it back.
+    pub fn expire(&mut self, index: ChangeIndex, id: &str, born_ms: u64) -> bool {
+        let known = self.endpoints.get_mut(id);
+        let known = known.filter(|known| {
+            known.notice.born_ms == born_ms && known.notice.phase != EndpointPhase::Gone
+        });
+        let Some(known) = known else {
+            return false;
+        };
+        known.notice.phase = EndpointPhase::Gone;
+        known.changed_at = index;
+        true
+    }
+
     /// Marks an endpoint as gone and returns whether that changed anything. With `born_ms`, only
     /// that incarnation and earlier ones are removed.
     pub fn leave(&mut self, index: ChangeIndex, id: &str, born_ms: Option<u64>) -> bool {
@@ -176,15 +199,16 @@
             return false;
         };
         let born_ms = born_ms.unwrap_or(known.notice.born_ms);
-        let is_known_end =
-            known.notice.phase == EndpointPhase::Gone && born_ms == known.notice.born_ms;
-        if born_ms < known.notice.born_ms || is_known_end {
+        if born_ms < known.notice.born_ms {
             return false;
         }
+        let was_gone = known.notice.phase == EndpointPhase::Gone && born_ms == known.notice.born_ms;
         known.notice.born_ms = born_ms;
-        known.notice.phase = EndpointPhase::Gone;
-        known.changed_at = index;
-        true
+        known.notice.end();
+        if !was_gone {
+            known.changed_at = index;
+        }
+        !was_gone
     }
 
     fn evict_oldest_gone(&mut self) {
--- a/crates/core/src/routing/leaving_endpoints.rs
+++ b/crates/core/src/routing/leaving_endpoints.rs
@@ -14,6 +14,8 @@
 
 /// Time for which a statement is passed on. By then the endpoint's own announcement has arrived.
 const MAX_STATEMENT_AGE: Duration = Duration::from_secs(10);
+/// Time for which a statement is remembered, for endpoints that are silent and come back.
+const MEMORY_TIME: Duration = Duration::from_mins(10);
 
 /// A process of an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -72,19 +74,20 @@
         news
     }
 
-    /// Whether `process` has said that it leaves, as far as that is still passed on.
+    /// Whether `process` has said that it leaves, as far as that is remembered.
     pub fn contains(&self, process: EndpointProcess) -> bool {
         self.heard.contains_key(&process)
     }
 
-    /// All statements that are still passed on. Drops the others.
+    /// All statements that are still passed on. Forgets those past [`MEMORY_TIME`].
     pub fn statements(&mut self, now: TimePoint) -> Vec<LeavingStatement> {
-        self.heard
-            .retain(|_, at| now.since(*at) < MAX_STATEMENT_AGE);
+        self.heard.retain(|_, at| now.since(*at) < MEMORY_TIME);
+        let recent = self.heard.iter();
+        let recent = recent.filter(|(_, at)| now.since(**at) < MAX_STATEMENT_AGE);
         let statement = |(process, at): (&EndpointProcess, &TimePoint)| LeavingStatement {
             process: *process,
             age_ms: now.millis_since(*at),
         };
-        self.heard.iter().map(statement).collect()
+        recent.map(statement).collect()
     }
 }
--- a/crates/core/src/routing/state.rs
+++ b/crates/core/src/routing/state.rs
@@ -55,6 +55,13 @@
     ChangeSegment(SegmentChange),
     /// Starts a roll-out, also if an equal one was rolled back.
     RestartRollout(RolloutOrder),
+    /// Takes an endpoint that was silent for too long out of use until its next notice.
+    Expire {
+        /// Id of the endpoint.
+        id: Arc<str>,
+        /// Start time of the silent incarnation.
+        born_ms: u64,
+    },
 }
 
 /// A declaration together with the text that the operator submitted.
@@ -143,6 +150,10 @@
                 let is_change = self.directory.leave(index, id, *born_ms);
                 (RoutingOutcome::Accepted, is_change)
             }
+            RoutingCommand::Expire { id, born_ms } => {
+                let is_change = self.directory.expire(index, id, *born_ms);
+                (RoutingOutcome::Accepted, is_change)
+            }
             RoutingCommand::Evacuate { domain, is_out } => (
                 RoutingOutcome::Accepted,
                 self.evacuate(index, domain, *is_out),
--- a/crates/core/tests/routing/directory.rs
+++ b/crates/core/tests/routing/directory.rs
@@ -55,6 +55,48 @@
     assert_eq!(phase(&directory, "a"), Some(EndpointPhase::Ready));
 }
 
+/// Guards against an endpoint that was cut off for longer than its silence is tolerated and stays
+/// unused after that.
+#[test]
+fn endpoint_that_was_silent_comes_back_with_its_next_notice() {
+    let mut directory = EndpointDirectory::default();
+    directory.apply(1, &notice("a", 100, 5));
+
+    let is_change = directory.expire(2, "a", 100);
+    let while_silent = phase(&directory, "a");
+    let late = directory.apply(3, &notice("a", 100, 5));
+    let next = directory.apply(4, &notice("a", 100, 6));
+
+    assert!(is_change);
+    assert_eq!(while_silent, Some(EndpointPhase::Gone));
+    assert_eq!(late, NoticeOutcome::Stale);
+    assert_eq!(next, NoticeOutcome::Changes);
+    assert_eq!(phase(&directory, "a"), Some(EndpointPhase::Ready));
+}
+
+#[test]
+fn endpoint_that_deregisters_after_a_silence_stays_gone() {
+    let mut directory = EndpointDirectory::default();
+    directory.apply(1, &notice("a", 100, 5));
+    directory.expire(2, "a", 100);
+
+    directory.leave(3, "a", Some(100));
+    let outcome = directory.apply(4, &notice("a", 100, 9));
+
+    assert_eq!(outcome, NoticeOutcome::Stale);
+}
+
+#[test]
+fn silence_of_an_earlier_incarnation_changes_nothing() {
+    let mut directory = EndpointDirectory::default();
+    directory.apply(1, &notice("a", 200, 1));
+
+    let is_change = directory.expire(2, "a", 100);
+
+    assert!(!is_change);
+    assert_eq!(phase(&directory, "a"), Some(EndpointPhase::Ready));
+}
+
 #[test]
 fn a_late_deregistration_of_an_earlier_incarnation_changes_nothing() {
     let mut directory = EndpointDirectory::default();
--- a/crates/core/tests/routing/leaving_endpoints.rs
+++ b/crates/core/tests/routing/leaving_endpoints.rs
@@ -64,7 +64,22 @@
     assert!(!endpoints.contains(EndpointProcess::new("w1", 2_000)));
 }
 
-/// Guards against statements that are passed on in a circle, and kept, without end.
+/// Guards against calls to an endpoint that leaves, was silent for long and comes back.
+#[test]
+fn statement_is_remembered_for_longer_than_it_is_passed_on() {
+    let mut endpoints = LeavingEndpoints::default();
+    let process = EndpointProcess::new("w1", 1_000);
+    endpoints.hear(at(0), process);
+
+    endpoints.statements(at(599_999));
+    let is_remembered = endpoints.contains(process);
+    endpoints.statements(at(600_000));
+
+    assert!(is_remembered);
+    assert!(!endpoints.contains(process));
+}
+
+/// Guards against statements that are passed on in a circle without end.
 #[test]
 fn statements_end() {
     let mut endpoints = LeavingEndpoints::default();
--- a/crates/keeper/src/routing_coordinator.rs
+++ b/crates/keeper/src/routing_coordinator.rs
@@ -33,7 +33,7 @@
     /// Time since the last watch after which an entry and its reports are dropped, in milliseconds.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub entry_silence: Duration,
-    /// Time since the last announcement after which an endpoint is removed, in milliseconds.
+    /// Time since the last announcement after which an endpoint is taken out of use, in milliseconds.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub endpoint_silence: Duration,
     /// Time for which operators may send the same order again because they got no answer, in
@@ -462,9 +462,9 @@
         };
         let expired = state.directory.iter().filter(is_expired);
         expired
-            .map(|endpoint| RoutingCommand::Leave {
+            .map(|endpoint| RoutingCommand::Expire {
                 id: Arc::clone(&endpoint.notice.id),
-                born_ms: Some(endpoint.notice.born_ms),
+                born_ms: endpoint.notice.born_ms,
             })
             .collect()
     }
--- a/crates/keeper/tests/routing_coordinator.rs
+++ b/crates/keeper/tests/routing_coordinator.rs
@@ -262,3 +262,29 @@
 
     assert_eq!(outcome, NoticeOutcome::Changes);
 }
+
+/// Guards against an endpoint that is cut off from the keepers for longer than `endpoint_silence` and
+/// never used again, because it did not restart.
+#[test]
+fn endpoint_that_was_cut_off_is_used_again_after_its_next_notice() {
+    let mut coordinator = RoutingCoordinator::new(CoordinatorSettings::default());
+    let mut state = RoutingState::default();
+    coordinator.start_leading(at(0));
+    state.apply(1, &RoutingCommand::Announce(notice("a", "llm", 100)));
+    for command in coordinator.due_commands(at(30_000), &state) {
+        state.apply(2, &command);
+    }
+    let while_silent = state.directory.get("a").map(|known| known.notice.phase);
+
+    let next = EndpointNotice {
+        sequence: 2,
+        ..notice("a", "llm", 100)
+    };
+    let outcome = coordinator.record_notice(at(31_000), &state, &next);
+    state.apply(3, &RoutingCommand::Announce(next));
+
+    let known = state.directory.get("a").map(|known| known.notice.phase);
+    assert_eq!(while_silent, Some(EndpointPhase::Gone));
+    assert_eq!(outcome, NoticeOutcome::Changes);
+    assert_eq!(known, Some(EndpointPhase::Ready));
+}
