Remember a deregistration of which no notice has arrived yet

A worker that deregistered was registered, and called, by a notice of its that was still on its way, at a keeper that had not heard of it.

Cause: a deregistration of an unknown endpoint was acknowledged and changed nothing.

--- a/crates/core/src/routing/directory.rs
+++ b/crates/core/src/routing/directory.rs
@@ -50,6 +50,23 @@
 }
 
 impl EndpointNotice {
+    /// The end of an incarnation of which no notice is known.
+    fn ended(id: &str, born_ms: u64) -> Self {
+        let unknown: Arc<str> = Arc::from("");
+        Self {
+            id: Arc::from(id),
+            born_ms,
+            sequence: u64::MAX,
+            service: Arc::clone(&unknown),
+            address: Arc::clone(&unknown),
+            domain: Arc::clone(&unknown),
+            version: unknown,
+            slots: 0,
+            phase: EndpointPhase::Gone,
+            cold_left_ms: 0,
+        }
+    }
+
     /// Ends the incarnation: all its notices count as earlier than this one.
     fn end(&mut self) {
         self.phase = EndpointPhase::Gone;
@@ -192,10 +209,18 @@
         true
     }
 
-    /// Marks an endpoint as gone and returns whether that changed anything. With `born_ms`, only
-    /// that incarnation and earlier ones are removed.
+    /// Marks an endpoint as gone and returns whether entries must learn of that. With `born_ms`, only
+    /// that incarnation and earlier ones are removed, also if none of their notices has arrived yet.
     pub fn leave(&mut self, index: ChangeIndex, id: &str, born_ms: Option<u64>) -> bool {
         let Some(known) = self.endpoints.get_mut(id) else {
+            if let Some(born_ms) = born_ms {
+                let endpoint = PoolEndpoint {
+                    notice: EndpointNotice::ended(id, born_ms),
+                    changed_at: index,
+                };
+                self.endpoints.insert(Arc::from(id), endpoint);
+                self.evict_oldest_gone();
+            }
             return false;
         };
         let born_ms = born_ms.unwrap_or(known.notice.born_ms);
--- a/crates/core/tests/routing/directory.rs
+++ b/crates/core/tests/routing/directory.rs
@@ -108,6 +108,21 @@
     assert_eq!(phase(&directory, "a"), Some(EndpointPhase::Ready));
 }
 
+/// Guards against an endpoint that has deregistered and is registered by a notice that was on its way.
+#[test]
+fn notice_that_arrives_after_the_deregistration_does_not_register_its_endpoint() {
+    let mut directory = EndpointDirectory::default();
+
+    let is_change = directory.leave(1, "a", Some(100));
+    let late = directory.apply(2, &notice("a", 100, 1));
+    let restarted = directory.apply(3, &notice("a", 200, 1));
+
+    assert!(!is_change);
+    assert_eq!(late, NoticeOutcome::Stale);
+    assert_eq!(restarted, NoticeOutcome::Changes);
+    assert_eq!(phase(&directory, "a"), Some(EndpointPhase::Ready));
+}
+
 #[test]
 fn a_deregistration_of_a_later_incarnation_ends_the_known_one() {
     let mut directory = EndpointDirectory::default();
