Ignore the ages that entries report of an earlier roll-out

After a roll-back and a second order, an entry that had not learned of either reports how long it knows "the" roll-out. The leader took that for the second one, which would have been completed at once, without a trial.

Cause: ages are reported by service and version, which the two orders share.

Fix: an age counts only from an entry that has the change which started the roll-out.

Test: keeper `entry_that_still_runs_the_first_roll_out_does_not_advance_the_second`; it was written with the fix.

--- a/crates/keeper/src/lib.rs
+++ b/crates/keeper/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod operator;
 pub mod outbox;
 pub mod propagation;
+pub mod rollout_clocks;
 pub mod routing_coordinator;
 pub mod settings;
 pub mod state_machine;
--- a/crates/keeper/src/routing_coordinator.rs
+++ b/crates/keeper/src/routing_coordinator.rs
@@ -12,8 +12,8 @@
 use chestnutloft_core::routing::{
     ArmCount, ArmKey, CanaryAnalysis, CanaryThresholds, ChangeIndex, DeclarationUpdates,
     DirectoryChange, EndpointEnd, EndpointNotice, EndpointPhase, NoticeOutcome, PoolEndpoint,
-    RolloutOrder, RolloutStage, RolloutState, RolloutTiming, RoutingCommand, RoutingState,
-    SegmentFaultDetector, SegmentFaultSettings, SessionHash, VersionVerdict,
+    RolloutOrder, RolloutStage, RolloutTiming, RoutingCommand, RoutingState, SegmentFaultDetector,
+    SegmentFaultSettings, SessionHash, VersionVerdict,
 };
 use chestnutloft_core::time::TimePoint;
 use chestnutloft_wire::message::{
@@ -21,6 +21,7 @@
 };
 
 use crate::propagation::PropagationTracker;
+use crate::rollout_clocks::RolloutClocks;
 
 /// Timeouts of watches, entries and endpoints.
 #[serde_as]
@@ -84,22 +85,6 @@
     bound_sessions: Vec<SessionHash>,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct RolloutClock {
-    started_at: TimePoint,
-    /// When the progress was last replicated.
-    recorded_at: TimePoint,
-    /// Change that started the roll-out; 0 if this keeper does not know it.
-    order_index: ChangeIndex,
-}
-
-/// End of a roll-out as this keeper saw it.
-#[derive(Clone, Copy, Debug)]
-struct RolloutEnd {
-    index: ChangeIndex,
-    seen_at: TimePoint,
-}
-
 /// Coordinates endpoints, watching entries and roll-outs on the leader.
 pub struct RoutingCoordinator {
     settings: CoordinatorSettings,
@@ -107,10 +92,7 @@
     liveness: HashMap<Arc<str>, EndpointLiveness>,
     watches: Vec<PendingWatch>,
     entry_reports: BTreeMap<Arc<str>, EntryReport>,
-    /// Clock of each running roll-out, by service and target version.
-    rollout_clocks: HashMap<(Arc<str>, Arc<str>), RolloutClock>,
-    /// End of the last roll-out of each service.
-    rollout_ends: HashMap<Arc<str>, RolloutEnd>,
+    rollout_clocks: RolloutClocks,
     keepers: Vec<String>,
     leader_since: TimePoint,
     segment_faults: SegmentFaultDetector,
@@ -127,8 +109,7 @@
             liveness: HashMap::new(),
             watches: Vec::new(),
             entry_reports: BTreeMap::new(),
-            rollout_clocks: HashMap::new(),
-            rollout_ends: HashMap::new(),
+            rollout_clocks: RolloutClocks::default(),
             keepers: Vec::new(),
             leader_since: TimePoint::ZERO,
             segment_faults: SegmentFaultDetector::new(SegmentFaultSettings::default()),
@@ -146,83 +127,20 @@
         self.propagation = PropagationTracker::default();
     }
 
-    /// Updates the clocks of running roll-outs from the replicated state. Every replica does this,
-    /// so that a new leader continues with the elapsed time.
+    /// Updates the clocks of roll-outs from the replicated state. Every replica does this.
     pub fn update_rollout_clocks(&mut self, now: TimePoint, state: &RoutingState) {
-        let running = state
-            .rollouts
-            .values()
-            .filter(|rollout| !rollout.stage.is_final());
-        let mut clocks = HashMap::new();
-        for rollout in running {
-            let key = (
-                Arc::clone(&rollout.order.service),
-                Arc::clone(&rollout.order.target),
-            );
-            let replicated_start = now - Duration::from_millis(rollout.elapsed_ms);
-            let is_trial = rollout.stage == RolloutStage::Trial;
-            let order_index = if is_trial { rollout.changed_at } else { 0 };
-            let known = self.rollout_clocks.get(&key).copied();
-            let is_same = |clock: &RolloutClock| !is_trial || clock.order_index == order_index;
-            let clock = known.filter(is_same).unwrap_or(RolloutClock {
-                started_at: replicated_start,
-                recorded_at: now,
-                order_index,
-            });
-            let started_at = clock.started_at.min(replicated_start);
-            clocks.insert(
-                key,
-                RolloutClock {
-                    started_at,
-                    ..clock
-                },
-            );
-        }
-        self.rollout_clocks = clocks;
-        self.update_rollout_ends(now, state);
-    }
-
-    fn update_rollout_ends(&mut self, now: TimePoint, state: &RoutingState) {
-        let ended = state
-            .rollouts
-            .values()
-            .filter(|rollout| rollout.stage.is_final());
-        let end = |rollout: &RolloutState| {
-            let service = &rollout.order.service;
-            let known = self.rollout_ends.get(service).copied();
-            let known = known.filter(|end| end.index == rollout.changed_at);
-            let new = RolloutEnd {
-                index: rollout.changed_at,
-                seen_at: now,
-            };
-            (Arc::clone(service), known.unwrap_or(new))
-        };
-        self.rollout_ends = ended.map(end).collect();
+        self.rollout_clocks.update(now, state);
     }
 
-    /// Command for an operator's order: a new roll-out, or nothing new if the order may have been
-    /// sent again because its answer was lost.
+    /// Command for an operator's order of a roll-out; see [`RolloutClocks::command`].
     pub fn rollout_command(
         &self,
         now: TimePoint,
         state: &RoutingState,
         order: RolloutOrder,
     ) -> RoutingCommand {
-        let is_rolled_back = state.rollouts.get(&order.service).is_some_and(|rollout| {
-            rollout.order == order && rollout.stage == RolloutStage::RolledBack
-        });
-        let end = self.rollout_ends.get(&order.service);
-        let ended_for = end.map_or(Duration::ZERO, |end| now.since(end.seen_at));
-        if !is_rolled_back || ended_for < self.settings.order_resend {
-            return RoutingCommand::StartRollout(order);
-        }
-        spdlog::info!(
-            "rollout: service {} to version {} is ordered again, {} ms after it was rolled back.",
-            order.service,
-            order.target,
-            ended_for.as_millis()
-        );
-        RoutingCommand::RestartRollout(order)
+        self.rollout_clocks
+            .command(now, state, order, self.settings.order_resend)
     }
 
     /// Redirects all watching entries to the leader, because this keeper is not serving as one.
@@ -289,11 +207,7 @@
         report.received_at = now;
         report.confirmed = call.known.index;
         for age in &call.rollouts {
-            let key = (Arc::clone(&age.service), Arc::clone(&age.target));
-            if let Some(clock) = self.rollout_clocks.get_mut(&key) {
-                let started_at = now - Duration::from_millis(age.age_ms);
-                clock.started_at = clock.started_at.min(started_at);
-            }
+            self.rollout_clocks.record_age(now, call.known.index, age);
         }
         report.bound_sessions = std::mem::take(&mut call.bound_sessions);
         if let Some(arms) = call.arms.take() {
@@ -477,8 +391,7 @@
             .filter(|rollout| !rollout.stage.is_final())
         {
             let order = &rollout.order;
-            let key = (Arc::clone(&order.service), Arc::clone(&order.target));
-            let Some(clock) = self.rollout_clocks.get_mut(&key) else {
+            let Some(clock) = self.rollout_clocks.get_mut(order) else {
                 continue;
             };
             let elapsed_ms = now.millis_since(clock.started_at);
--- a/crates/keeper/tests/routing_coordinator.rs
+++ b/crates/keeper/tests/routing_coordinator.rs
@@ -43,10 +43,14 @@
     state
 }
 
+/// Poll of an entry that knows of the roll-out, and so of the change that started it.
 fn call(entry: &str, age_ms: u64, bound_sessions: Vec<u64>) -> WatchCall {
     WatchCall {
         entry: Arc::from(entry),
-        known: RoutingRevision::default(),
+        known: RoutingRevision {
+            index: 1,
+            ..RoutingRevision::default()
+        },
         peers_hash: 0,
         arms: None,
         rollouts: vec![RolloutAge {
@@ -171,6 +175,21 @@
     assert_eq!(stages(&late), vec![RolloutStage::RolledBack]);
 }
 
+/// Guards against a second roll-out that is completed at once by an entry that still runs the first.
+#[test]
+fn entry_that_still_runs_the_first_roll_out_does_not_advance_the_second() {
+    let (mut coordinator, mut state) = leader_after_roll_back();
+    state.apply(4, &RoutingCommand::RestartRollout(order()));
+    coordinator.update_rollout_clocks(at(0), &state);
+    let mut behind = call("entry-1", DURATION_MS, Vec::new());
+    behind.known.index = 2;
+
+    watch(&mut coordinator, &state, behind);
+    let commands = coordinator.due_commands(at(1_500), &state);
+
+    assert_eq!(stages(&commands), vec![RolloutStage::Trial]);
+}
+
 #[test]
 fn without_reports_the_replicated_elapsed_time_is_used() {
     let state = state();
