--- a/crates/core/tests/credits.rs
+++ b/crates/core/tests/credits.rs
@@ -15,6 +15,12 @@
 
 const EPOCH: (u64, u64) = (1, 0);
 const FULL_SLOTS: u32 = 12;
+/// One slot for a second.
+const ONE_SLOT: CreditGrant = CreditGrant {
+    slots: 1,
+    duration_us: 1_000_000,
+    is_warm: false,
+};
 
 fn entry(number: usize) -> EntryId {
     format!("e{number}").parse().expect("an id")
@@ -184,12 +190,7 @@
     holder.record_refused();
 
     let is_due_while_pending = holder.needs_report(reported_at + Duration::from_millis(1));
-    let grant = CreditGrant {
-        slots: 1,
-        duration_us: 1_000_000,
-        is_warm: false,
-    };
-    holder.apply_grant(reported_at, EPOCH, grant);
+    holder.apply_grant(reported_at, EPOCH, ONE_SLOT);
     let has_free_slot = holder.has_free_slot(reported_at + Duration::from_millis(2));
     let is_due_after_answer = holder.needs_report(reported_at + Duration::from_millis(2));
 
@@ -204,12 +205,7 @@
     let reported_at = TimePoint::from_secs(10);
     holder.record_refused();
     let _report = holder.report(reported_at);
-    let grant = CreditGrant {
-        slots: 1,
-        duration_us: 1_000_000,
-        is_warm: false,
-    };
-    holder.apply_grant(reported_at, EPOCH, grant);
+    holder.apply_grant(reported_at, EPOCH, ONE_SLOT);
 
     let is_returned_early = holder.needs_report(reported_at + Duration::from_millis(999));
     let is_returned = holder.needs_report(reported_at + Duration::from_secs(1));
--- a/crates/keeper/tests/routing_coordinator.rs
+++ b/crates/keeper/tests/routing_coordinator.rs
@@ -43,6 +43,14 @@
     state
 }
 
+/// A keeper that leads since 0 ms.
+fn leader_of(state: &RoutingState) -> RoutingCoordinator {
+    let mut coordinator = RoutingCoordinator::new(CoordinatorSettings::default());
+    coordinator.start_leading(at(0));
+    coordinator.update_rollout_clocks(at(0), state);
+    coordinator
+}
+
 /// Poll of an entry that knows of the roll-out, and so of the change that started it.
 fn call(entry: &str, age_ms: u64, bound_sessions: Vec<u64>) -> WatchCall {
     WatchCall {
@@ -88,9 +96,7 @@
 #[test]
 fn a_restarted_leader_takes_the_elapsed_time_of_a_roll_out_from_entries() {
     let state = state();
-    let mut coordinator = RoutingCoordinator::new(CoordinatorSettings::default());
-    coordinator.start_leading(at(0));
-    coordinator.update_rollout_clocks(at(0), &state);
+    let mut coordinator = leader_of(&state);
     watch(
         &mut coordinator,
         &state,
@@ -115,9 +121,7 @@
 /// A leader of a state with a roll-out that was rolled back at 0 ms.
 fn leader_after_roll_back() -> (RoutingCoordinator, RoutingState) {
     let mut state = state();
-    let mut coordinator = RoutingCoordinator::new(CoordinatorSettings::default());
-    coordinator.start_leading(at(0));
-    coordinator.update_rollout_clocks(at(0), &state);
+    let mut coordinator = leader_of(&state);
     state.apply(3, &move_to(RolloutStage::RolledBack));
     coordinator.update_rollout_clocks(at(0), &state);
     (coordinator, state)
@@ -138,9 +142,7 @@
 #[test]
 fn order_that_is_carried_out_is_not_new() {
     let state = state();
-    let mut coordinator = RoutingCoordinator::new(CoordinatorSettings::default());
-    coordinator.start_leading(at(0));
-    coordinator.update_rollout_clocks(at(0), &state);
+    let coordinator = leader_of(&state);
 
     let command = coordinator.rollout_command(at(20_000), &state, order());
 
@@ -193,9 +195,7 @@
 #[test]
 fn without_reports_the_replicated_elapsed_time_is_used() {
     let state = state();
-    let mut coordinator = RoutingCoordinator::new(CoordinatorSettings::default());
-    coordinator.start_leading(at(0));
-    coordinator.update_rollout_clocks(at(0), &state);
+    let mut coordinator = leader_of(&state);
 
     let commands = coordinator.due_commands(at(1_500), &state);
 
