Declare what the parts for competing callers and uneven endpoints share

Urgency is sent to the model endpoints of a service whose capacity is managed; nothing else changes yet.

--- a/crates/bench/benches/declaration.rs
+++ b/crates/bench/benches/declaration.rs
@@ -42,6 +42,7 @@
             cold_ms: 0,
             cold_per_s: 0.0,
             models: Vec::new(),
+            engine: None,
         }],
         ..RouteDeclaration::default()
     }
--- a/crates/core/src/routing/declaration.rs
+++ b/crates/core/src/routing/declaration.rs
@@ -84,6 +84,27 @@
     pub cost: f64,
 }
 
+/// What a service declares about the engines of its endpoints.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct EngineRule {
+    /// Calls that an endpoint runs at the same time.
+    pub slots: u32,
+    /// Tokens that running calls and cached prompt segments share.
+    pub kv_tokens: u64,
+    /// Bytes of KV cache per token.
+    pub token_bytes: u64,
+    /// Bandwidth of an endpoint's link for copies of KV cache, in Mbit/s.
+    pub link_mbps: f64,
+    /// Tokens of an event of a stream.
+    pub event_tokens: u32,
+    /// Whether a run can be moved to another endpoint.
+    pub has_moves: bool,
+    /// Whether a run's KV cache can be backed up at another endpoint while it grows.
+    pub has_backups: bool,
+    /// Time after which an unused copy expires, in milliseconds.
+    pub copy_ttl_ms: u64,
+}
+
 /// A pool of endpoints that serve the same API.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ServiceRule {
@@ -99,6 +120,8 @@
     pub cold_per_s: f64,
     /// Models that the endpoints run, cheapest first.
     pub models: Vec<ModelRule>,
+    /// Engines of the endpoints; `None` if the endpoints run no models.
+    pub engine: Option<EngineRule>,
 }
 
 /// A workspace and the API keys of its callers.
@@ -108,8 +131,8 @@
     pub name: Arc<str>,
     /// API keys of its callers.
     pub keys: Vec<Arc<str>>,
-    /// Priority; takes precedence over that of the route.
-    pub priority: u32,
+    /// Priority; takes precedence over that of the route. `None` if the workspace has none.
+    pub priority: Option<u32>,
 }
 
 /// Size and time limits of callers' connections.
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -28,7 +28,7 @@
 pub use budgets::{EndpointRateLimiter, RateShare, ServiceRetryBudget, ServiceRetrySettings};
 pub use canary::{ArmCount, ArmKey, CanaryAnalysis, CanaryThresholds, VersionVerdict};
 pub use declaration::{
-    CallKind, CallerLimits, DeclarationFinding, ModelRule, RouteDeclaration, RouteRule,
+    CallKind, CallerLimits, DeclarationFinding, EngineRule, ModelRule, RouteDeclaration, RouteRule,
     ServiceRule, ServiceShare, WorkspaceRule,
 };
 pub use declaration_update::{DeclarationUpdate, DeclarationUpdates};
--- a/crates/core/tests/routing/fixture.rs
+++ b/crates/core/tests/routing/fixture.rs
@@ -39,6 +39,7 @@
         cold_ms: 3_000,
         cold_per_s: 10.0,
         models: Vec::new(),
+        engine: None,
     }
 }
 
@@ -46,7 +47,7 @@
     WorkspaceRule {
         name: Arc::from(name),
         keys: keys.iter().map(|key| Arc::from(*key)).collect(),
-        priority: 0,
+        priority: None,
     }
 }
 
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -344,12 +344,15 @@
     model: Option<&str>,
     resume_after: Option<u64>,
 ) -> Request<Full<Bytes>> {
+    let service = &call.service;
+    let is_managed = service.engine.is_some() && context.state().is_capacity_managed(&service.name);
     let head = AttemptHead {
         endpoint: &endpoint.id,
         workspace: call.workspace.as_ref().map(|rule| &*rule.name),
         model,
         time_left: call.time_left(clock::now()),
         resume_after,
+        urgency: is_managed.then(|| call.urgency()),
     };
     let mut request = Request::new(Full::new(call.body.clone()));
     *request.method_mut() = call.parts.method.clone();
--- a/crates/entry/src/forward/choice.rs
+++ b/crates/entry/src/forward/choice.rs
@@ -117,6 +117,8 @@
     AtRateLimit,
     /// This entry's share of the service's connection limit is in use.
     ConnectionsInUse,
+    /// The places of all endpoints are taken.
+    Full,
     /// All endpoints have asked for no calls.
     AtRest {
         /// Time until the first of them takes calls again.
@@ -131,6 +133,7 @@
             Self::NoneReady => "no endpoint takes new work",
             Self::AtRateLimit => "the endpoints left take no further calls at present",
             Self::ConnectionsInUse => "all connections are in use",
+            Self::Full => "the places of all endpoints are taken",
             Self::AtRest { .. } => "the endpoints have asked for no calls",
         }
     }
--- a/crates/entry/src/forward/codec.rs
+++ b/crates/entry/src/forward/codec.rs
@@ -51,6 +51,8 @@
     pub prompt: Vec<PromptSegment>,
     /// Number of tokens that the answer may have.
     pub max_output_tokens: Option<u32>,
+    /// The caller's estimate of the number of tokens of the answer; often far off.
+    pub expected_output_tokens: Option<u32>,
     /// Name of the session that the call belongs to.
     pub session: Option<String>,
 }
@@ -68,8 +70,13 @@
     pub time_left: Duration,
     /// Id of the last event received, where the attempt resumes a stream.
     pub resume_after: Option<u64>,
+    /// Urgency that the endpoint is told, 0 (first) to [`MAX_URGENCY`]; `None` to say nothing.
+    pub urgency: Option<u8>,
 }
 
+/// Largest value of an attempt's urgency, for the least urgent calls.
+pub const MAX_URGENCY: u8 = 9;
+
 /// Load that an endpoint reports with a response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ReportedLoad {
@@ -77,6 +84,11 @@
     pub running: u32,
     /// Queued calls.
     pub waiting: u32,
+    /// Calls that it runs at the same time, if it says so.
+    pub slots: Option<u32>,
+    /// How long work takes at the endpoint at this moment, in percent of the usual time, if it says
+    /// so.
+    pub pace_percent: Option<u32>,
 }
 
 /// Whether the endpoint has run the call, according to its response.
--- a/crates/entry/src/forward/context.rs
+++ b/crates/entry/src/forward/context.rs
@@ -29,6 +29,9 @@
     pub connections: ConnectionPool,
     /// Exchange of pending work per endpoint with the other entries.
     pub load_exchange: LoadExchange,
+    /// Changes when a waiting call may find capacity: an attempt has ended, an endpoint or new load
+    /// information has come.
+    pub capacity_changed: watch::Sender<()>,
     /// Set once shutdown has begun.
     pub shutting_down: watch::Receiver<bool>,
     /// Set during shutdown, once new calls are refused.
@@ -59,6 +62,7 @@
             bodies: BodyMemoryPools::new(settings.memory_bytes()),
             connections: ConnectionPool::default(),
             load_exchange: LoadExchange::default(),
+            capacity_changed: watch::Sender::new(()),
             shutting_down,
             refusing_calls,
             segment_news: Notify::new(),
--- a/crates/entry/src/forward/inbound.rs
+++ b/crates/entry/src/forward/inbound.rs
@@ -17,7 +17,7 @@
 use chestnutloft_wire::clock;
 
 use super::body_memory::{BodyReadError, discard_rest};
-use super::codec::{CallHead, CallRefusal, PromptSegment};
+use super::codec::{CallHead, CallRefusal, MAX_URGENCY, PromptSegment};
 use super::context::ForwardContext;
 
 /// Share of a call's timeout for which it waits at an entry that has no routes yet.
@@ -35,6 +35,9 @@
 /// Retry-after time of calls refused because the entry's routing state is missing or out of date.
 const STALE_RETRY_AFTER: Duration = Duration::from_millis(400);
 
+/// Number of priorities of routes that an endpoint can tell apart within a workspace's priority.
+const ROUTE_PRIORITIES: u32 = 4;
+
 /// A call that has been matched to a route.
 pub struct InboundCall {
     /// Request head as the codec read it.
@@ -70,6 +73,19 @@
         Duration::from_millis(self.route.target_latency_ms)
     }
 
+    /// Priority of the workspace, where it has one, then that of the route; 0 is the most urgent.
+    pub fn priority(&self) -> (u32, u32) {
+        let workspace = self.workspace.as_ref().and_then(|rule| rule.priority);
+        (workspace.unwrap_or_default(), self.route.priority)
+    }
+
+    /// Urgency that an endpoint is told: 0 is the most urgent.
+    pub fn urgency(&self) -> u8 {
+        let (workspace, route) = self.priority();
+        let rank = workspace.saturating_mul(ROUTE_PRIORITIES) + route.min(ROUTE_PRIORITIES - 1);
+        u8::try_from(rank).unwrap_or(MAX_URGENCY).min(MAX_URGENCY)
+    }
+
     /// Hash of the session name, or of the call id for a call without a session.
     pub fn session_key(&self) -> u64 {
         let call_id = || self.head.id.as_str();
--- a/crates/entry/src/forward/settings.rs
+++ b/crates/entry/src/forward/settings.rs
@@ -49,6 +49,15 @@
     }
 }
 
+/// How the capacity of endpoints is shared among callers.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct CapacitySettings {
+    /// Whether calls are admitted in order of urgency and fair share, as capacity allows. Also holds
+    /// for each service whose endpoints report their pace.
+    pub is_ordered: bool,
+}
+
 /// Settings of an entry that forwards calls by declared routes.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -81,6 +90,11 @@
     pub pressure: QueueDelaySettings,
     /// When a call is escalated to a larger model.
     pub ladder: EscalationSettings,
+    /// How the capacity of endpoints is shared among callers.
+    pub capacity: CapacitySettings,
+    /// Names of the optional guarantees that the deployment asks for. Names that the entry does not
+    /// know have no effect.
+    pub guarantees: Vec<String>,
 }
 
 impl Default for ForwardSettings {
@@ -101,6 +115,8 @@
             placement: PlacementSettings::default(),
             pressure: QueueDelaySettings::default(),
             ladder: EscalationSettings::default(),
+            capacity: CapacitySettings::default(),
+            guarantees: Vec::new(),
         }
     }
 }
--- a/crates/entry/src/forward/state.rs
+++ b/crates/entry/src/forward/state.rs
@@ -14,7 +14,7 @@
 };
 use chestnutloft_core::time::TimePoint;
 
-use super::settings::{ForwardSettings, SharedLimits};
+use super::settings::{CapacitySettings, ForwardSettings, SharedLimits};
 
 /// Share of the key withdrawal time for which an entry accepts keys without a new confirmation by
 /// the keepers; the rest covers the time that an accepted call takes to reach its endpoint.
@@ -70,6 +70,9 @@
     pub(super) name: Arc<str>,
     pub(super) domain: Arc<str>,
     pub(super) limits: SharedLimits,
+    pub(super) capacity: CapacitySettings,
+    /// Services whose endpoints have reported their pace.
+    pub(super) paced_services: BTreeSet<Arc<str>>,
     pub(super) placement: PlacementSettings,
     pub(super) queue_delays: QueueDelayEstimator,
     pub(super) prefill_work: PrefillTimeEstimator,
@@ -124,6 +127,8 @@
             name: Arc::clone(&name),
             domain: Arc::from(settings.domain.as_str()),
             limits: limits.clone(),
+            capacity: settings.capacity.clone(),
+            paced_services: BTreeSet::new(),
             placement: settings.placement.clone(),
             queue_delays: QueueDelayEstimator::new(settings.pressure.clone()),
             prefill_work: PrefillTimeEstimator::default(),
@@ -324,6 +329,12 @@
         self.segments.admit(segments, &self.name, &self.entries)
     }
 
+    /// Whether the capacity of `service` is shared among callers by urgency and fair share: the
+    /// settings ask for it, or its endpoints report their pace.
+    pub fn is_capacity_managed(&self, service: &str) -> bool {
+        self.capacity.is_ordered || self.paced_services.contains(service)
+    }
+
     /// Number of known endpoints that have not deregistered.
     pub fn endpoint_count(&self) -> usize {
         let endpoints = self.endpoints.values();
--- a/crates/entry/tests/state.rs
+++ b/crates/entry/tests/state.rs
@@ -34,6 +34,7 @@
         cold_ms: 3_000,
         cold_per_s: 10.0,
         models: Vec::new(),
+        engine: None,
     }
 }
 
--- a/crates/keeper/tests/routing_coordinator.rs
+++ b/crates/keeper/tests/routing_coordinator.rs
@@ -242,6 +242,7 @@
             cold_ms: 0,
             cold_per_s: 0.0,
             models: Vec::new(),
+            engine: None,
         }],
         ..RouteDeclaration::default()
     };
