Choose endpoints by the calls of all entries, their pace and their caches

Cause: an entry knew only its own calls at an endpoint and took a prompt prefix for cached at its owner by hash, also at its first use. Prompts were sent where others had just sent theirs, streams there paused for longer than callers accept, and endpoints of unlike speed counted as equal.

Change: entries exchange calls and tokens at endpoints, readings of pace, usual speeds and placements of prefixes; where capacity is managed, the endpoint of least expected cost is chosen, equals are spread, and full endpoints are left out. A long prompt's timeout follows its expected time.

--- /dev/null
+++ b/crates/core/src/routing/capacity_ledger.rs
@@ -0,0 +1,212 @@
+//! Calls and tokens that endpoints hold, over all entries.
+//!
+//! Answers loads in which many entries fill the same endpoints: each entry knows only the calls that
+//! it sent itself, and an endpoint's own reports are seconds old by the next answer from it. Entries
+//! therefore exchange what they have at each endpoint and decide by the sum.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::time::TimePoint;
+
+use super::load_aggregation::EndpointHash;
+
+/// Tokens per unit of a report, to keep reports small.
+const TOKENS_PER_UNIT: f64 = 1_024.0;
+/// Age up to which the other entries' usage counts in full: calls run for longer than that.
+const FULL_WEIGHT_AGE: Duration = Duration::from_millis(500);
+/// Age at which the other entries' usage no longer counts. By then most of the calls have ended.
+const MAX_USAGE_AGE: Duration = Duration::from_secs(4);
+/// Share of the slots that may wait at an endpoint beyond those that run. Calls that wait there are
+/// out of reach of the order in which entries admit calls.
+const WAITING_SHARE: f64 = 0.125;
+/// Share of an endpoint's memory that calls may take. The rest covers calls that other entries have
+/// sent since the last exchange: an endpoint whose memory is exceeded ends.
+const MEMORY_SHARE: f64 = 0.9;
+
+/// What one or more entries have at an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndpointUsage {
+    /// The endpoint.
+    pub endpoint: EndpointHash,
+    /// Calls that it runs or queues.
+    pub calls: u32,
+    /// Those of them that a larger model than the smallest answers.
+    pub large_calls: u32,
+    /// Tokens of these calls, in units of 1,024.
+    pub token_units: u32,
+}
+
+/// Room that one call takes at an endpoint.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct CapacityClaim {
+    /// Whether a larger model than the smallest answers.
+    pub is_large: bool,
+    /// Tokens of the prompt and the expected answer.
+    pub tokens: f64,
+}
+
+/// Calls and tokens at one endpoint.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct UsageSum {
+    /// Calls that it runs or queues.
+    pub calls: f64,
+    /// Those of them that a larger model than the smallest answers.
+    pub large_calls: f64,
+    /// Tokens of these calls.
+    pub tokens: f64,
+}
+
+impl UsageSum {
+    fn add(self, other: Self) -> Self {
+        Self {
+            calls: self.calls + other.calls,
+            large_calls: self.large_calls + other.large_calls,
+            tokens: self.tokens + other.tokens,
+        }
+    }
+
+    fn scale(self, factor: f64) -> Self {
+        Self {
+            calls: self.calls * factor,
+            large_calls: self.large_calls * factor,
+            tokens: self.tokens * factor,
+        }
+    }
+
+    fn of_report(usage: &EndpointUsage) -> Self {
+        Self {
+            calls: f64::from(usage.calls),
+            large_calls: f64::from(usage.large_calls),
+            tokens: f64::from(usage.token_units) * TOKENS_PER_UNIT,
+        }
+    }
+}
+
+/// Capacity of one endpoint.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct EndpointCapacity {
+    /// Calls that it runs at the same time.
+    pub slots: f64,
+    /// Tokens that fit into its memory; 0 if unknown.
+    pub tokens: f64,
+}
+
+impl EndpointCapacity {
+    /// Whether an endpoint with `usage` may take one more call. A few calls may wait there, so that
+    /// a freed slot is not idle until the next call arrives.
+    pub fn has_room(&self, usage: UsageSum, claim: CapacityClaim) -> bool {
+        let max_calls = (self.slots * (1.0 + WAITING_SHARE)).ceil();
+        let fits_memory =
+            self.tokens <= 0.0 || usage.tokens + claim.tokens <= self.tokens * MEMORY_SHARE;
+        // A call that alone takes more than the share runs at an endpoint without others.
+        let is_alone = usage.calls < 1.0 && claim.tokens <= self.tokens;
+        usage.calls + 1.0 <= max_calls && (fits_memory || is_alone)
+    }
+}
+
+/// Calls of this entry at all endpoints, and the sums over the other entries.
+#[derive(Clone, Debug, Default)]
+pub struct CapacityLedger {
+    own: HashMap<EndpointHash, UsageSum>,
+    peers: HashMap<EndpointHash, UsageSum>,
+    peers_at: TimePoint,
+}
+
+impl CapacityLedger {
+    /// Records that a call was sent to `endpoint`.
+    pub fn claim(&mut self, endpoint: EndpointHash, claim: CapacityClaim) {
+        let own = self.own.entry(endpoint).or_default();
+        *own = own.add(UsageSum {
+            calls: 1.0,
+            large_calls: f64::from(u8::from(claim.is_large)),
+            tokens: claim.tokens,
+        });
+    }
+
+    /// Records that a call at `endpoint` has ended.
+    pub fn release(&mut self, endpoint: EndpointHash, claim: CapacityClaim) {
+        let Some(own) = self.own.get_mut(&endpoint) else {
+            return;
+        };
+        own.calls -= 1.0;
+        own.large_calls -= f64::from(u8::from(claim.is_large));
+        own.tokens -= claim.tokens;
+        if own.calls < 1.0 {
+            self.own.remove(&endpoint);
+        }
+    }
+
+    /// What this entry has at the endpoints.
+    pub fn report(&self) -> Vec<EndpointUsage> {
+        let usage = |(endpoint, sum): (&EndpointHash, &UsageSum)| EndpointUsage {
+            endpoint: *endpoint,
+            calls: sum.calls as u32,
+            large_calls: sum.large_calls.max(0.0) as u32,
+            token_units: (sum.tokens.max(0.0) / TOKENS_PER_UNIT).ceil() as u32,
+        };
+        self.own.iter().map(usage).collect()
+    }
+
+    /// Replaces the usage of the other entries with that reported at `now`.
+    pub fn set_peers(&mut self, now: TimePoint, peers: &[EndpointUsage]) {
+        let sums = peers.iter();
+        self.peers = sums
+            .map(|usage| (usage.endpoint, UsageSum::of_report(usage)))
+            .collect();
+        self.peers_at = now;
+    }
+
+    /// Calls and tokens of all entries at `endpoint`. The part of the others loses weight once it is
+    /// older than most calls last.
+    pub fn usage(&self, now: TimePoint, endpoint: EndpointHash) -> UsageSum {
+        let own = self.own.get(&endpoint).copied().unwrap_or_default();
+        let peers = self.peers.get(&endpoint).copied().unwrap_or_default();
+        let age = now.since(self.peers_at).saturating_sub(FULL_WEIGHT_AGE);
+        let max_age = MAX_USAGE_AGE.saturating_sub(FULL_WEIGHT_AGE);
+        let left = 1.0 - age.as_secs_f64() / max_age.as_secs_f64();
+        own.add(peers.scale(left.max(0.0)))
+    }
+}
+
+/// Sum of the usage that entries report.
+#[derive(Clone, Debug, Default)]
+pub struct UsageTotals {
+    totals: HashMap<EndpointHash, EndpointUsage>,
+}
+
+impl UsageTotals {
+    /// Adds the report of an entry.
+    pub fn add(&mut self, report: &[EndpointUsage]) {
+        for usage in report {
+            let total = self.totals.entry(usage.endpoint).or_insert(EndpointUsage {
+                endpoint: usage.endpoint,
+                calls: 0,
+                large_calls: 0,
+                token_units: 0,
+            });
+            total.calls = total.calls.saturating_add(usage.calls);
+            total.large_calls = total.large_calls.saturating_add(usage.large_calls);
+            total.token_units = total.token_units.saturating_add(usage.token_units);
+        }
+    }
+
+    /// Removes a report that was added before.
+    pub fn remove(&mut self, report: &[EndpointUsage]) {
+        for usage in report {
+            if let Some(total) = self.totals.get_mut(&usage.endpoint) {
+                total.calls = total.calls.saturating_sub(usage.calls);
+                total.large_calls = total.large_calls.saturating_sub(usage.large_calls);
+                total.token_units = total.token_units.saturating_sub(usage.token_units);
+            }
+        }
+        self.totals.retain(|_, total| total.calls > 0);
+    }
+
+    /// The sums of all endpoints with calls.
+    pub fn report(&self) -> Vec<EndpointUsage> {
+        self.totals.values().copied().collect()
+    }
+}
--- a/crates/core/src/routing/load_aggregation.rs
+++ b/crates/core/src/routing/load_aggregation.rs
@@ -13,14 +13,22 @@
 use crate::hash::key_hash;
 use crate::time::TimePoint;
 
+use super::capacity_ledger::{EndpointUsage, UsageTotals};
+use super::endpoint_pace::{PaceReading, PaceReadings, SpeedMeans, SpeedSample};
 use super::event_gap::EventGapReport;
 use super::leaving_endpoints::{LeavingEndpoints, LeavingStatement};
+use super::prefix_directory::{PlacementLog, PrefixPlacement};
 use super::rate_limits::{LimitStatement, StatedLimits};
 
 /// Age at which a report expires. By then its entry has stopped or lost its connection, and the
 /// calls in the report have begun to answer or failed.
 const REPORT_LIFETIME: Duration = Duration::from_secs(2);
 
+/// Time that a reading may take from its endpoint to the aggregator, in milliseconds.
+const MAX_READING_DELAY_MS: u64 = 60;
+/// Interval at which an entry gets the mean speeds of all endpoints. They change slowly.
+const SPEED_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Short hash of an endpoint's id, to keep reports small. Two endpoints that collide are counted
 /// as one, which only makes the choice of an endpoint less accurate.
 pub type EndpointHash = u32;
@@ -51,11 +59,22 @@
     pub limits: Vec<LimitStatement>,
     /// Endpoints that have said that they leave.
     pub leaving: Vec<LeavingStatement>,
+    /// Calls and tokens at endpoints whose capacity is managed.
+    pub usage: Vec<EndpointUsage>,
+    /// Readings of endpoints' pace that the receiver may not know yet.
+    pub paces: Vec<PaceReading>,
+    /// From an entry: answers since its last report. To an entry: the means over all entries, where
+    /// it has not got them for [`SPEED_INTERVAL`].
+    pub speeds: Vec<SpeedSample>,
+    /// Prompt prefixes that were sent to endpoints, as far as the receiver may not know.
+    pub prefixes: Vec<PrefixPlacement>,
 }
 
 #[derive(Clone, Debug)]
 struct EntryReport {
     received_at: TimePoint,
+    /// When the entry last got the mean speeds.
+    speeds_sent_at: Option<TimePoint>,
     load: LoadSummary,
 }
 
@@ -66,6 +85,10 @@
     totals: HashMap<EndpointHash, u64>,
     limits: StatedLimits,
     leaving: LeavingEndpoints,
+    usage: UsageTotals,
+    paces: PaceReadings,
+    speeds: SpeedMeans,
+    prefixes: PlacementLog,
 }
 
 impl LoadAggregator {
@@ -83,8 +106,20 @@
         let limits = self.limits.statements(now);
         self.leaving.merge(now, &std::mem::take(&mut load.leaving));
         let leaving = self.leaving.statements(now);
+        let paces = self.exchange_paces(now, entry, &std::mem::take(&mut load.paces));
+        self.speeds.add(&std::mem::take(&mut load.speeds));
+        let prefixes = self
+            .prefixes
+            .exchange(entry, &std::mem::take(&mut load.prefixes));
+        let speeds_sent_at = self
+            .reports
+            .get(entry)
+            .and_then(|report| report.speeds_sent_at);
+        let is_speed_due = speeds_sent_at.is_none_or(|at| now.since(at) >= SPEED_INTERVAL);
         self.drop_expired(now);
         self.drop_report(entry);
+        let usage = self.usage.report();
+        self.usage.add(&load.usage);
         let peer_work = self.totals.iter().map(|(endpoint, total)| WaitingWork {
             endpoint: *endpoint,
             work_ms: u32::try_from(*total).unwrap_or(u32::MAX),
@@ -97,6 +132,11 @@
         }
         let report = EntryReport {
             received_at: now,
+            speeds_sent_at: if is_speed_due {
+                Some(now)
+            } else {
+                speeds_sent_at
+            },
             load,
         };
         self.reports.insert(Arc::clone(entry), report);
@@ -105,7 +145,33 @@
             event_gap,
             limits,
             leaving,
+            usage,
+            paces,
+            prefixes,
+            speeds: if is_speed_due {
+                self.speeds.report()
+            } else {
+                Vec::new()
+            },
+        }
+    }
+
+    /// Adds the readings of `entry` and returns those that came since its last report.
+    fn exchange_paces(
+        &mut self,
+        now: TimePoint,
+        entry: &str,
+        readings: &[PaceReading],
+    ) -> Vec<PaceReading> {
+        let last_report = self.reports.get(entry).map(|report| report.received_at);
+        let mut paces = self.paces.recent(now);
+        if let Some(last) = last_report {
+            // A reading that another entry reports late is older than it was when it came.
+            let max_age_ms = now.millis_since(last) + MAX_READING_DELAY_MS;
+            paces.retain(|reading| u64::from(reading.age_ms) <= max_age_ms);
         }
+        self.paces.merge(now, readings);
+        paces
     }
 
     fn drop_expired(&mut self, now: TimePoint) {
@@ -113,6 +179,7 @@
         let expired = self.reports.iter().filter(|(_, report)| is_expired(report));
         let expired: Vec<Arc<str>> = expired.map(|(entry, _)| Arc::clone(entry)).collect();
         for entry in expired {
+            self.prefixes.forget(&entry);
             self.drop_report(&entry);
         }
     }
@@ -121,6 +188,7 @@
         let Some(report) = self.reports.remove(entry) else {
             return;
         };
+        self.usage.remove(&report.load.usage);
         for item in report.load.work {
             if let Some(total) = self.totals.get_mut(&item.endpoint) {
                 *total = total.saturating_sub(u64::from(item.work_ms));
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -4,9 +4,11 @@
 mod body_memory;
 mod budgets;
 mod canary;
+mod capacity_ledger;
 mod declaration;
 mod declaration_update;
 mod directory;
+mod endpoint_pace;
 mod endpoint_rest;
 mod escalation;
 mod event_gap;
@@ -14,6 +16,7 @@
 mod leaving_endpoints;
 mod load_aggregation;
 mod placement;
+mod prefix_directory;
 mod queue_delay;
 mod rate_limits;
 mod rollout;
@@ -23,10 +26,14 @@
 mod sessions;
 mod state;
 mod table;
+mod timed_placement;
 
 pub use body_memory::{BodyDirection, BodyMemory, BodyPool, MAX_SMALL_BODY_BYTES};
 pub use budgets::{EndpointRateLimiter, RateShare, ServiceRetryBudget, ServiceRetrySettings};
 pub use canary::{ArmCount, ArmKey, CanaryAnalysis, CanaryThresholds, VersionVerdict};
+pub use capacity_ledger::{
+    CapacityClaim, CapacityLedger, EndpointCapacity, EndpointUsage, UsageSum, UsageTotals,
+};
 pub use declaration::{
     CallKind, CallerLimits, DeclarationFinding, EngineRule, ModelRule, RouteDeclaration, RouteRule,
     ServiceRule, ServiceShare, WorkspaceRule,
@@ -36,6 +43,7 @@
     ChangeIndex, DirectoryChange, EndpointDirectory, EndpointNotice, EndpointPhase, NoticeOutcome,
     PoolEndpoint,
 };
+pub use endpoint_pace::{PaceReading, PaceReadings, SpeedMeans, SpeedSample, speed_sample};
 pub use endpoint_rest::EndpointRest;
 pub use escalation::{
     CallTokens, EscalationCandidate, EscalationPolicy, EscalationSettings, PoolLoad,
@@ -48,6 +56,7 @@
     EndpointCandidate, ModelLane, PlacementRequest, PlacementSettings, SelectedEndpoint,
     select_endpoint,
 };
+pub use prefix_directory::{PlacementLog, PrefixDirectory, PrefixHash, PrefixPlacement};
 pub use queue_delay::{PrefillTimeEstimator, QueueDelayEstimator, QueueDelaySettings, QueueState};
 pub use rate_limits::{LimitStatement, StatedLimits};
 pub use rollout::{RolloutOrder, RolloutStage, RolloutState, RolloutTiming};
@@ -61,3 +70,6 @@
     RoutingCommand, RoutingOutcome, RoutingRevision, RoutingState, RoutingUpdate, StoredDeclaration,
 };
 pub use table::{KeyLookup, RouteTable};
+pub use timed_placement::{
+    TimedCandidate, TimedPlacementSettings, TimedRequest, TimedSelection, select_by_time,
+};
--- /dev/null
+++ b/crates/core/src/routing/timed_placement.rs
@@ -0,0 +1,179 @@
+//! Selects the endpoint at which a call is expected to cost least time, by the load that all entries
+//! have there and the pace of the endpoint.
+//!
+//! Answers loads in which endpoints are unlike, or are filled by many entries at once. Prompts are
+//! processed between the tokens of running streams, so a prompt delays each stream of its endpoint:
+//! the time that it takes from them counts as well as its own.
+
+use serde::{Deserialize, Serialize};
+
+use crate::hash::rendezvous_weight;
+
+use super::capacity_ledger::UsageSum;
+
+/// Weights of the terms of the expected cost.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct TimedPlacementSettings {
+    /// Time added by an endpoint whose slots are all in use, in milliseconds. Scales linearly with
+    /// the calls.
+    pub full_ms: f64,
+    /// Time added by each call that has to wait for a slot, in milliseconds.
+    pub waiting_ms: f64,
+    /// Share of a prompt's processing time that counts for each stream that it delays.
+    pub delay_share: f64,
+    /// Further share for the part of the endpoint's pending work beyond which its streams pause for
+    /// longer than callers accept.
+    pub pause_share: f64,
+    /// Share of the time to process a cached prefix again that counts on top, for what the work
+    /// takes from other calls.
+    pub reread_share: f64,
+    /// Time added where the call runs beside calls of the other size of model, in milliseconds: an
+    /// endpoint decodes in turn, so the small model waits for the steps of the large one.
+    pub mixed_ms: f64,
+    /// Penalty for an endpoint in another failure domain, in milliseconds.
+    pub remote_ms: f64,
+    /// Penalty for an endpoint that is recovering from an ejection, in milliseconds.
+    pub trial_ms: f64,
+    /// Costs that differ by less than this share count as equal.
+    pub equal_share: f64,
+    /// Costs that differ by less than this count as equal, in milliseconds.
+    pub equal_ms: f64,
+}
+
+impl Default for TimedPlacementSettings {
+    fn default() -> Self {
+        Self {
+            full_ms: 150.0,
+            waiting_ms: 150.0,
+            delay_share: 0.04,
+            pause_share: 0.2,
+            reread_share: 0.5,
+            mixed_ms: 20.0,
+            remote_ms: 15.0,
+            trial_ms: 200.0,
+            equal_share: 0.05,
+            equal_ms: 3.0,
+        }
+    }
+}
+
+/// An endpoint that can take the call.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TimedCandidate<'a> {
+    /// Id of the endpoint.
+    pub id: &'a str,
+    /// Whether it is in another failure domain than the entry.
+    pub is_remote: bool,
+    /// Calls and tokens of all entries there.
+    pub usage: UsageSum,
+    /// Maximum number of calls that it runs concurrently.
+    pub slots: f64,
+    /// Usual time that a new call waits before its prompt is processed, in milliseconds.
+    pub wait_ms: f64,
+    /// Time that work takes there now, as a multiple of the usual time.
+    pub pace: f64,
+    /// Whether it was ejected and has not answered successfully since.
+    pub is_recovering: bool,
+    /// Whether it presumably has the call's prompt prefix cached.
+    pub has_prefix: bool,
+}
+
+/// Properties of the call to place.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct TimedRequest {
+    /// Hash of the call, which spreads calls over equal endpoints.
+    pub call_hash: u64,
+    /// Usual time to process the shared prefix, in milliseconds.
+    pub prefix_ms: f64,
+    /// Usual time to process the rest of the prompt, in milliseconds.
+    pub suffix_ms: f64,
+    /// Whether a larger model than the smallest answers; `None` if calls are not told apart so.
+    pub is_large: Option<bool>,
+    /// Longest pause between events that callers of the service accept, in milliseconds.
+    pub max_pause_ms: f64,
+}
+
+/// The endpoint selected for a call.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct TimedSelection {
+    /// Index into the candidates.
+    pub index: usize,
+    /// Expected time until its prompt has been processed there, in milliseconds.
+    pub first_event_ms: f64,
+}
+
+/// Selects among the candidates of least expected cost; `None` if there are no candidates.
+pub fn select_by_time(
+    settings: &TimedPlacementSettings,
+    request: &TimedRequest,
+    candidates: &[TimedCandidate<'_>],
+) -> Option<TimedSelection> {
+    let costs: Vec<f64> = candidates
+        .iter()
+        .map(|candidate| expected_cost(settings, request, candidate))
+        .collect();
+    let least = costs.iter().copied().min_by(f64::total_cmp)?;
+    let limit = least * (1.0 + settings.equal_share) + settings.equal_ms;
+    let spread = |index: &usize| {
+        let id = candidates[*index].id.as_bytes();
+        rendezvous_weight(&request.call_hash.to_le_bytes(), id)
+    };
+    let equal = (0..candidates.len()).filter(|index| costs[*index] <= limit);
+    let index = equal.max_by_key(spread)?;
+    let candidate = &candidates[index];
+    let prefill_ms = request.prefill_ms(candidate.has_prefix);
+    Some(TimedSelection {
+        index,
+        first_event_ms: (candidate.wait_ms + prefill_ms) * candidate.pace,
+    })
+}
+
+impl TimedRequest {
+    fn prefill_ms(&self, has_prefix: bool) -> f64 {
+        self.suffix_ms + if has_prefix { 0.0 } else { self.prefix_ms }
+    }
+}
+
+fn expected_cost(
+    settings: &TimedPlacementSettings,
+    request: &TimedRequest,
+    candidate: &TimedCandidate<'_>,
+) -> f64 {
+    let prefill_ms = request.prefill_ms(candidate.has_prefix);
+    let calls = candidate.usage.calls;
+    let waiting = (calls + 1.0 - candidate.slots).max(0.0);
+    let load_ms =
+        settings.full_ms * calls / candidate.slots.max(1.0) + settings.waiting_ms * waiting;
+    let work_ms = candidate.wait_ms + prefill_ms;
+    let pause_ms = (work_ms * candidate.pace - request.max_pause_ms).max(0.0);
+    let delay_ms = calls
+        * (prefill_ms * settings.delay_share + pause_ms.min(prefill_ms) * settings.pause_share);
+    let reread_ms = if candidate.has_prefix {
+        0.0
+    } else {
+        request.prefix_ms * settings.reread_share
+    };
+    let others = match request.is_large {
+        Some(true) => calls - candidate.usage.large_calls,
+        Some(false) => candidate.usage.large_calls,
+        None => 0.0,
+    };
+    let mixed_ms = settings.mixed_ms * others.clamp(0.0, MAX_MIXED_CALLS);
+    let by_pace_ms = (work_ms + load_ms + delay_ms + mixed_ms) * candidate.pace;
+    by_pace_ms
+        + reread_ms
+        + if candidate.is_remote {
+            settings.remote_ms
+        } else {
+            0.0
+        }
+        + if candidate.is_recovering {
+            settings.trial_ms
+        } else {
+            0.0
+        }
+}
+
+/// Number of calls of the other size of model beyond which more of them make no difference.
+const MAX_MIXED_CALLS: f64 = 3.0;
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -92,7 +92,10 @@
         endpoint: ChosenEndpoint,
     ) -> Self {
         let work_ms = endpoint.prefill.work_ms;
-        context.state().start_attempt(now, &endpoint.id, work_ms);
+        let mut state = context.state();
+        state.start_attempt(now, &endpoint.id, work_ms);
+        state.claim_capacity(now, &endpoint);
+        drop(state);
         context.load_exchange.notify_changed();
         Self {
             context: Arc::clone(context),
@@ -136,6 +139,7 @@
         self.finish_prefill();
         let mut state = self.context.state();
         state.finish_attempt(&self.endpoint.id);
+        state.release_capacity(&self.endpoint);
         if let Some(call) = self.unanswered.take() {
             let now = clock::now();
             state
--- /dev/null
+++ b/crates/entry/src/forward/capacity.rs
@@ -0,0 +1,248 @@
+//! Choice of an endpoint where capacity is managed: by the calls of all entries and the pace of each
+//! endpoint.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use chestnutloft_core::routing::{
+    CapacityClaim, EndpointCapacity, EndpointHash, ModelLane, PaceReading, PrefixHash, ServiceRule,
+    SpeedSample, TimedCandidate, TimedRequest, UsageSum, endpoint_hash, select_by_time,
+    speed_sample,
+};
+use chestnutloft_core::time::TimePoint;
+
+use super::choice::{ChosenEndpoint, NoEndpoint, PrefillEstimate, PromptSize, SelectionRequest};
+use super::state::{EndpointState, EntryState};
+
+/// Age up to which an endpoint's own report of its load is used beside the ledger.
+const MAX_REPORT_AGE: Duration = Duration::from_millis(300);
+/// Number of readings and samples that are kept while no keeper leads. The oldest are dropped.
+const MAX_NEWS: usize = 256;
+
+/// Readings of pace and comparisons of speed that the other entries have not been told yet.
+#[derive(Clone, Debug, Default)]
+pub struct PaceNews {
+    readings: Vec<(TimePoint, PaceReading)>,
+    samples: Vec<SpeedSample>,
+}
+
+impl PaceNews {
+    fn add_reading(&mut self, now: TimePoint, reading: PaceReading) {
+        self.readings
+            .retain(|(_, known)| known.endpoint != reading.endpoint);
+        if self.readings.len() < MAX_NEWS {
+            self.readings.push((now, reading));
+        }
+    }
+
+    fn add_sample(&mut self, sample: SpeedSample) {
+        if self.samples.len() < MAX_NEWS {
+            self.samples.push(sample);
+        }
+    }
+
+    /// Takes the readings, with their age at `now`.
+    pub fn take_readings(&mut self, now: TimePoint) -> Vec<PaceReading> {
+        let readings = std::mem::take(&mut self.readings).into_iter();
+        let aged = |(at, reading): (TimePoint, PaceReading)| PaceReading {
+            age_ms: u32::try_from(now.millis_since(at)).unwrap_or(u32::MAX),
+            ..reading
+        };
+        readings.map(aged).collect()
+    }
+
+    /// Takes the samples.
+    pub fn take_samples(&mut self) -> Vec<SpeedSample> {
+        std::mem::take(&mut self.samples)
+    }
+}
+
+impl EntryState {
+    /// Calls and tokens of all entries at an endpoint. A recent report of the endpoint itself
+    /// counts if it says more.
+    pub fn endpoint_usage(&self, now: TimePoint, id: &str) -> UsageSum {
+        let usage = self.ledger.usage(now, endpoint_hash(id));
+        let endpoint = self.endpoints.get(id);
+        let reported = endpoint
+            .filter(|endpoint| {
+                let report = endpoint.report.as_ref();
+                report.is_some_and(|report| now.since(report.received_at) < MAX_REPORT_AGE)
+            })
+            .map_or(0.0, |endpoint| endpoint.load(now));
+        UsageSum {
+            calls: usage.calls.max(reported),
+            ..usage
+        }
+    }
+
+    /// Records what an endpoint of `service` said of its pace.
+    pub(super) fn record_pace(
+        &mut self,
+        now: TimePoint,
+        id: &str,
+        service: &Arc<str>,
+        percent: u32,
+    ) {
+        let endpoint = endpoint_hash(id);
+        if !self.paces.record(now, endpoint, percent) {
+            return;
+        }
+        if self.paced_services.insert(Arc::clone(service)) {
+            spdlog::info!(
+                "capacity: endpoints of service {service} report their pace; its capacity is managed from now on."
+            );
+        }
+        let reading = PaceReading {
+            endpoint,
+            percent,
+            age_ms: 0,
+        };
+        self.pace_news.add_reading(now, reading);
+    }
+
+    /// Compares the time until an answer began with the usual time for such a call.
+    pub(super) fn record_speed(
+        &mut self,
+        now: TimePoint,
+        endpoint: &ChosenEndpoint,
+        took: Duration,
+    ) {
+        let prefill = &endpoint.prefill;
+        let hash = endpoint_hash(&endpoint.id);
+        let factor = self.paces.factor(now, hash);
+        let expected_ms = (prefill.wait_ms + prefill.work_ms) * factor;
+        let sample = speed_sample(hash, took.as_secs_f64() * 1_000.0, expected_ms);
+        self.pace_news.add_sample(sample);
+    }
+
+    /// Counts the call at its endpoint, which will have the call's prompt prefix cached.
+    pub fn claim_capacity(&mut self, now: TimePoint, endpoint: &ChosenEndpoint) {
+        if let Some(claim) = endpoint.claim {
+            let hash = endpoint_hash(&endpoint.id);
+            self.ledger.claim(hash, claim);
+            if let Some(prefix) = endpoint.prefill.prefix_hash {
+                self.prefixes.record(now, prefix as PrefixHash, hash);
+            }
+        }
+    }
+
+    /// Endpoints that presumably have the prompt's prefix cached.
+    fn prefix_holders(&self, now: TimePoint, prompt: &PromptSize) -> Vec<EndpointHash> {
+        let prefix = prompt.prefix_hash.map(|prefix| prefix as PrefixHash);
+        let holders = prefix.map(|prefix| self.prefixes.holders(now, prefix).collect());
+        holders.unwrap_or_default()
+    }
+
+    /// Ends what [`Self::claim_capacity`] has counted.
+    pub fn release_capacity(&mut self, endpoint: &ChosenEndpoint) {
+        if let Some(claim) = endpoint.claim {
+            self.ledger.release(endpoint_hash(&endpoint.id), claim);
+        }
+    }
+
+    /// Chooses among `endpoints`, none of which is empty, the one with room at which the call is
+    /// expected to cost least time.
+    pub(super) fn choose_by_time(
+        &self,
+        now: TimePoint,
+        request: &SelectionRequest<'_>,
+        endpoints: &[&EndpointState],
+    ) -> Result<ChosenEndpoint, NoEndpoint> {
+        let claim = capacity_claim(request);
+        let holders = self.prefix_holders(now, &request.prompt);
+        let with_room: Vec<&EndpointState> = endpoints
+            .iter()
+            .copied()
+            .filter(|endpoint| self.has_room(now, endpoint, request.service, claim))
+            .collect();
+        let candidates: Vec<TimedCandidate<'_>> = with_room
+            .iter()
+            .map(|endpoint| self.timed_candidate(now, endpoint, &holders))
+            .collect();
+        let timed_request = self.timed_request(request);
+        let settings = &self.capacity.placement;
+        let chosen =
+            select_by_time(settings, &timed_request, &candidates).ok_or(NoEndpoint::Full)?;
+        let prompt = &request.prompt;
+        let uncached_tokens = if candidates[chosen.index].has_prefix {
+            prompt.suffix_tokens
+        } else {
+            prompt.total_tokens()
+        };
+        let prefill = PrefillEstimate {
+            model_hash: prompt.model_hash,
+            prefix_hash: prompt.prefix_hash,
+            uncached_tokens,
+            work_ms: self
+                .prefill_work
+                .prefill_ms(prompt.model_hash, uncached_tokens),
+            wait_ms: candidates[chosen.index].wait_ms,
+            pace: candidates[chosen.index].pace,
+        };
+        let notice = &with_room[chosen.index].notice;
+        Ok(ChosenEndpoint::new(notice, prefill, Some(claim)))
+    }
+
+    fn timed_request(&self, request: &SelectionRequest<'_>) -> TimedRequest {
+        let prompt = &request.prompt;
+        let prefill_ms = |tokens| self.prefill_work.prefill_ms(prompt.model_hash, tokens);
+        TimedRequest {
+            call_hash: request.session,
+            prefix_ms: prefill_ms(prompt.prefix_tokens),
+            suffix_ms: prefill_ms(prompt.suffix_tokens),
+            is_large: match request.lane {
+                ModelLane::Any => None,
+                ModelLane::Small => Some(false),
+                ModelLane::Large => Some(true),
+            },
+            max_pause_ms: request.max_pause.as_secs_f64() * 1_000.0,
+        }
+    }
+
+    fn timed_candidate<'a>(
+        &'a self,
+        now: TimePoint,
+        endpoint: &'a EndpointState,
+        holders: &[EndpointHash],
+    ) -> TimedCandidate<'a> {
+        let id = &*endpoint.notice.id;
+        let hash = endpoint_hash(id);
+        TimedCandidate {
+            id,
+            is_remote: endpoint.notice.domain != self.domain,
+            usage: self.endpoint_usage(now, id),
+            slots: f64::from(endpoint.notice.slots.max(1)),
+            wait_ms: self.queue_delays.wait_ms(now, id),
+            pace: self.paces.factor(now, hash) * self.speeds.factor(hash),
+            is_recovering: self.health.is_recovering(id),
+            has_prefix: holders.contains(&hash),
+        }
+    }
+
+    /// Whether the endpoint may take a call with `claim`. Plain services have no such bound: their
+    /// calls end sooner than entries can tell each other of them.
+    fn has_room(
+        &self,
+        now: TimePoint,
+        endpoint: &EndpointState,
+        service: &ServiceRule,
+        claim: CapacityClaim,
+    ) -> bool {
+        let Some(engine) = &service.engine else {
+            return true;
+        };
+        let capacity = EndpointCapacity {
+            slots: f64::from(endpoint.notice.slots.max(1)),
+            tokens: engine.kv_tokens as f64,
+        };
+        let usage = self.endpoint_usage(now, &endpoint.notice.id);
+        capacity.has_room(usage, claim)
+    }
+}
+
+fn capacity_claim(request: &SelectionRequest<'_>) -> CapacityClaim {
+    CapacityClaim {
+        is_large: request.lane == ModelLane::Large,
+        tokens: request.prompt.total_tokens() + request.output_tokens,
+    }
+}
--- a/crates/entry/src/forward/choice.rs
+++ b/crates/entry/src/forward/choice.rs
@@ -6,9 +6,9 @@
 
 use chestnutloft_core::hash::key_hash;
 use chestnutloft_core::routing::{
-    EndpointCandidate, EndpointPhase, EndpointRateLimiter, ModelLane, PlacementRequest, PoolLoad,
-    QueueState, RolloutStage, RolloutState, ServiceRule, SessionHash, VersionPreference,
-    endpoint_hash, select_endpoint, session_hash,
+    CapacityClaim, EndpointCandidate, EndpointNotice, EndpointPhase, EndpointRateLimiter,
+    ModelLane, PlacementRequest, PoolLoad, QueueState, RolloutStage, RolloutState, ServiceRule,
+    SessionHash, VersionPreference, endpoint_hash, select_endpoint, session_hash,
 };
 use chestnutloft_core::time::TimePoint;
 use chestnutloft_wire::message::RolloutAge;
@@ -41,6 +41,10 @@
     pub lane: ModelLane,
     /// Endpoints that the call has already been sent to.
     pub tried: &'a BTreeSet<Arc<str>>,
+    /// Tokens that the answer is expected to have.
+    pub output_tokens: f64,
+    /// Longest pause between events that the caller accepts.
+    pub max_pause: Duration,
 }
 
 /// Size of a prompt, in tokens of one model.
@@ -76,25 +80,54 @@
     pub version: Arc<str>,
     /// Expected prefill of the call at this endpoint.
     pub prefill: PrefillEstimate,
+    /// Room that the call takes there; `None` where capacity is not managed.
+    pub claim: Option<CapacityClaim>,
+}
+
+impl ChosenEndpoint {
+    /// The endpoint of `notice`.
+    pub fn new(
+        notice: &EndpointNotice,
+        prefill: PrefillEstimate,
+        claim: Option<CapacityClaim>,
+    ) -> Self {
+        Self {
+            id: Arc::clone(&notice.id),
+            born_ms: notice.born_ms,
+            address: Arc::clone(&notice.address),
+            version: Arc::clone(&notice.version),
+            prefill,
+            claim,
+        }
+    }
 }
 
 /// Expected prefill of a prompt at one endpoint.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PrefillEstimate {
     /// Hash of the model name.
     pub model_hash: u64,
+    /// Hash of the prefix that other calls share, if there is one.
+    pub prefix_hash: Option<u64>,
     /// Tokens that the endpoint has presumably not cached.
     pub uncached_tokens: f64,
     /// Time to process these tokens, in milliseconds.
     pub work_ms: f64,
     /// Queueing time before that, in milliseconds.
     pub wait_ms: f64,
+    /// Time that work takes at the endpoint now, as a multiple of the usual time.
+    pub pace: f64,
 }
 
 impl PrefillEstimate {
     /// Expected time until the response begins.
     pub fn expected_delay(&self) -> Duration {
-        Duration::from_secs_f64((self.wait_ms + self.work_ms) / 1_000.0)
+        Duration::from_secs_f64((self.wait_ms + self.work_ms) * self.pace / 1_000.0)
+    }
+
+    /// Time that would have been taken at the usual pace instead of `took`.
+    pub fn usual_time(&self, took: Duration) -> Duration {
+        took.div_f64(self.pace)
     }
 
     /// Whether the attempt is expected to queue.
@@ -143,10 +176,15 @@
     /// How busy the endpoints of a service are.
     pub fn pool_load(&self, now: TimePoint, service: &str) -> PoolLoad {
         let available = self.available_endpoints(service);
+        let is_managed = self.is_capacity_managed(service);
         let (mut wait_ms, mut load, mut slots, mut count) = (0.0, 0.0, 0.0, 0.0);
         for endpoint in available {
             wait_ms += self.queue_delays.wait_ms(now, &endpoint.notice.id);
-            load += endpoint.load(now);
+            load += if is_managed {
+                self.endpoint_usage(now, &endpoint.notice.id).calls
+            } else {
+                endpoint.load(now)
+            };
             slots += f64::from(endpoint.notice.slots);
             count += 1.0;
         }
@@ -232,6 +270,9 @@
             return Err(NoEndpoint::AtRateLimit);
         }
         let preferred = self.prefer_healthy_untried(now, &with_capacity, request.tried);
+        if self.is_capacity_managed(&request.service.name) {
+            return self.choose_by_time(now, request, &preferred);
+        }
         let candidates: Vec<EndpointCandidate<'_>> = preferred
             .iter()
             .map(|endpoint| self.placement_candidate(now, endpoint))
@@ -258,19 +299,15 @@
         };
         let prefill = PrefillEstimate {
             model_hash: prompt.model_hash,
+            prefix_hash: prompt.prefix_hash,
             uncached_tokens,
             work_ms: self
                 .prefill_work
                 .prefill_ms(prompt.model_hash, uncached_tokens),
             wait_ms: candidates[chosen.index].wait_ms,
+            pace: 1.0,
         };
-        Ok(ChosenEndpoint {
-            id: Arc::clone(&notice.id),
-            born_ms: notice.born_ms,
-            address: Arc::clone(&notice.address),
-            version: Arc::clone(&notice.version),
-            prefill,
-        })
+        Ok(ChosenEndpoint::new(notice, prefill, None))
     }
 
     fn placement_candidate<'a>(
--- a/crates/entry/src/forward/inbound.rs
+++ b/crates/entry/src/forward/inbound.rs
@@ -35,6 +35,8 @@
 /// Retry-after time of calls refused because the entry's routing state is missing or out of date.
 const STALE_RETRY_AFTER: Duration = Duration::from_millis(400);
 
+/// Target gap between events for routes that declare none.
+const DEFAULT_TARGET_GAP: Duration = Duration::from_secs(2);
 /// Number of priorities of routes that an endpoint can tell apart within a workspace's priority.
 const ROUTE_PRIORITIES: u32 = 4;
 
@@ -73,6 +75,12 @@
         Duration::from_millis(self.route.target_latency_ms)
     }
 
+    /// Longest pause between events of the answer that the caller accepts.
+    pub fn max_pause(&self) -> Duration {
+        let target_gap = self.route.target_gap_ms;
+        target_gap.map_or(DEFAULT_TARGET_GAP, Duration::from_millis)
+    }
+
     /// Priority of the workspace, where it has one, then that of the route; 0 is the most urgent.
     pub fn priority(&self) -> (u32, u32) {
         let workspace = self.workspace.as_ref().and_then(|rule| rule.priority);
--- a/crates/entry/src/forward/mod.rs
+++ b/crates/entry/src/forward/mod.rs
@@ -8,6 +8,7 @@
 mod attempt;
 mod body_memory;
 mod caller_connection;
+mod capacity;
 pub mod choice;
 pub mod codec;
 mod completion;
--- a/crates/entry/src/forward/outcomes.rs
+++ b/crates/entry/src/forward/outcomes.rs
@@ -51,6 +51,10 @@
         took: Duration,
     ) {
         let prefill = &endpoint.prefill;
+        if endpoint.claim.is_some() {
+            self.record_speed(now, endpoint, took);
+        }
+        let took = prefill.usual_time(took);
         self.queue_delays
             .record_delay(now, &endpoint.id, prefill.work_ms, took);
         self.prefill_work.record(
@@ -86,6 +90,10 @@
             event_gap: self.large_model_event_gap.report(now),
             limits: self.stated_limits.statements(now),
             leaving: self.leaving.statements(now),
+            usage: self.ledger.report(),
+            paces: self.pace_news.take_readings(now),
+            speeds: self.pace_news.take_samples(),
+            prefixes: self.prefixes.take_news(),
         }
     }
 
@@ -94,6 +102,10 @@
         self.queue_delays.set_peer_work(now, &peers.work);
         self.peer_event_gap = peers.event_gap;
         self.stated_limits.merge(now, &peers.limits);
+        self.ledger.set_peers(now, &peers.usage);
+        self.paces.merge(now, &peers.paces);
+        self.speeds.set(&peers.speeds);
+        self.prefixes.merge(now, &peers.prefixes);
         let leaving = self.leaving.merge(now, &peers.leaving);
         if !leaving.is_empty() {
             self.spare_leaving(&leaving);
@@ -156,6 +168,10 @@
                 load: f64::from(load.running) + f64::from(load.waiting),
                 own_in_flight: endpoint.in_flight as f64,
             });
+            if let Some(percent) = load.pace_percent {
+                let service = Arc::clone(&endpoint.notice.service);
+                self.record_pace(now, id, &service, percent);
+            }
         }
     }
 
--- a/crates/entry/src/forward/pipeline.rs
+++ b/crates/entry/src/forward/pipeline.rs
@@ -38,6 +38,9 @@
 /// Time added to that multiple, and the lower bound of a stream's timeout: an unnecessary second
 /// attempt costs another endpoint the prefill of the whole prompt.
 const STREAM_TIMEOUT_MARGIN: Duration = Duration::from_millis(700);
+/// Multiple of the expected delay for which a stream is waited for even past its latency target:
+/// another endpoint would take as long for a long prompt, and begin later.
+const LONG_PROMPT_DELAY_FACTOR: f64 = 2.0;
 /// Largest response body that is not relayed as a stream. A failing endpoint may send bytes without
 /// end, which would take up the entry's memory.
 const MAX_BUFFERED_BYTES: usize = 8 * 1024 * 1024;
@@ -250,6 +253,8 @@
             prompt: self.prompt(),
             lane: self.lane(),
             tried: &self.tried,
+            output_tokens: self.expected_output_tokens(),
+            max_pause: self.call.max_pause(),
         };
         self.context.state().choose(now, &request)
     }
@@ -266,6 +271,21 @@
         }
     }
 
+    /// Tokens that the answer is expected to have: the caller's estimate, within its limit.
+    fn expected_output_tokens(&self) -> f64 {
+        let head = &self.call.head;
+        let limit = head.max_output_tokens.map_or(f64::INFINITY, f64::from);
+        let expected = head.expected_output_tokens.or(head.max_output_tokens);
+        expected.map_or(0.0, f64::from).min(limit)
+    }
+
+    /// Whether the capacity of the call's service is managed.
+    pub(super) fn is_capacity_managed(&self) -> bool {
+        self.context
+            .state()
+            .is_capacity_managed(&self.call.service.name)
+    }
+
     /// Size of the prompt. All segments but the last form the prefix that other calls share.
     fn prompt(&self) -> PromptSize {
         let model = self.model();
@@ -436,7 +456,12 @@
             CallKind::Stream { is_resumable: true } if !is_last => {
                 let by_target = target.mul_f64(STREAM_TARGET_SHARE);
                 let by_delay = expected_delay.mul_f64(STREAM_DELAY_FACTOR) + STREAM_TIMEOUT_MARGIN;
-                time_left.min(by_target.min(by_delay).max(STREAM_TIMEOUT_MARGIN))
+                let least = if self.is_capacity_managed() {
+                    expected_delay.mul_f64(LONG_PROMPT_DELAY_FACTOR) + STREAM_TIMEOUT_MARGIN
+                } else {
+                    STREAM_TIMEOUT_MARGIN
+                };
+                time_left.min(by_target.min(by_delay).max(least))
             }
             _ => time_left,
         }
--- a/crates/entry/src/forward/relay.rs
+++ b/crates/entry/src/forward/relay.rs
@@ -27,8 +27,6 @@
 const GAP_TIMEOUT_FACTOR: f64 = 2.0;
 /// Number of events over which the mean time between the events of a stream is measured.
 const GAP_SAMPLE_EVENTS: u64 = 6;
-/// Target gap between events for routes that declare none.
-const DEFAULT_TARGET_GAP: Duration = Duration::from_secs(2);
 
 /// A stream in progress.
 pub struct StreamRelay {
@@ -177,9 +175,7 @@
     /// stream.
     fn read_timeout(&self) -> Duration {
         let time_left = self.execution.call.time_left(clock::now());
-        let target_gap = self.execution.call.route.target_gap_ms;
-        let target_gap = target_gap.map_or(DEFAULT_TARGET_GAP, Duration::from_millis);
-        let gap_timeout = target_gap.mul_f64(GAP_TIMEOUT_FACTOR);
+        let gap_timeout = self.execution.call.max_pause().mul_f64(GAP_TIMEOUT_FACTOR);
         if self.can_resume() && !self.waits_until_deadline {
             time_left.min(gap_timeout)
         } else {
--- a/crates/entry/src/forward/settings.rs
+++ b/crates/entry/src/forward/settings.rs
@@ -6,7 +6,9 @@
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, DurationSecondsWithFrac, serde_as};
 
-use chestnutloft_core::routing::{EscalationSettings, PlacementSettings, QueueDelaySettings};
+use chestnutloft_core::routing::{
+    EscalationSettings, PlacementSettings, QueueDelaySettings, TimedPlacementSettings,
+};
 use chestnutloft_wire::settings::SettingsFinding;
 
 /// Limits that apply across all entries of the cluster; each entry enforces its share of them.
@@ -56,6 +58,8 @@
     /// Whether calls are admitted in order of urgency and fair share, as capacity allows. Also holds
     /// for each service whose endpoints report their pace.
     pub is_ordered: bool,
+    /// Weights of the choice of an endpoint where capacity is managed.
+    pub placement: TimedPlacementSettings,
 }
 
 /// Settings of an entry that forwards calls by declared routes.
--- a/crates/entry/src/forward/state.rs
+++ b/crates/entry/src/forward/state.rs
@@ -6,14 +6,16 @@
 use std::time::Duration;
 
 use chestnutloft_core::routing::{
-    ArmCount, ArmKey, EndpointNotice, EndpointPhase, EndpointProcess, EndpointRateLimiter,
-    EndpointRest, EventGapReport, EventGapTracker, HealthSettings, IdleGap, LeavingEndpoints,
-    PlacementSettings, PoolHealth, PrefillTimeEstimator, QueueDelayEstimator, RolloutStage,
-    RolloutState, RouteDeclaration, RouteTable, RoutingRevision, RoutingUpdate, SegmentAdmission,
-    SegmentKnowledge, ServiceRetryBudget, ServiceRetrySettings, SessionVersions, StatedLimits,
+    ArmCount, ArmKey, CapacityLedger, EndpointNotice, EndpointPhase, EndpointProcess,
+    EndpointRateLimiter, EndpointRest, EventGapReport, EventGapTracker, HealthSettings, IdleGap,
+    LeavingEndpoints, PaceReadings, PlacementSettings, PoolHealth, PrefillTimeEstimator,
+    PrefixDirectory, QueueDelayEstimator, RolloutStage, RolloutState, RouteDeclaration, RouteTable,
+    RoutingRevision, RoutingUpdate, SegmentAdmission, SegmentKnowledge, ServiceRetryBudget,
+    ServiceRetrySettings, SessionVersions, SpeedMeans, StatedLimits, endpoint_hash,
 };
 use chestnutloft_core::time::TimePoint;
 
+use super::capacity::PaceNews;
 use super::settings::{CapacitySettings, ForwardSettings, SharedLimits};
 
 /// Share of the key withdrawal time for which an entry accepts keys without a new confirmation by
@@ -71,6 +73,16 @@
     pub(super) domain: Arc<str>,
     pub(super) limits: SharedLimits,
     pub(super) capacity: CapacitySettings,
+    /// Calls and tokens at endpoints, over all entries.
+    pub(super) ledger: CapacityLedger,
+    /// How long work takes at endpoints at this moment.
+    pub(super) paces: PaceReadings,
+    /// How long work usually takes at endpoints, against the pool.
+    pub(super) speeds: SpeedMeans,
+    /// Endpoints that have prompt prefixes cached.
+    pub(super) prefixes: PrefixDirectory,
+    /// Readings and comparisons that the other entries have not been told yet.
+    pub(super) pace_news: PaceNews,
     /// Services whose endpoints have reported their pace.
     pub(super) paced_services: BTreeSet<Arc<str>>,
     pub(super) placement: PlacementSettings,
@@ -128,6 +140,11 @@
             domain: Arc::from(settings.domain.as_str()),
             limits: limits.clone(),
             capacity: settings.capacity.clone(),
+            ledger: CapacityLedger::default(),
+            paces: PaceReadings::default(),
+            speeds: SpeedMeans::default(),
+            prefixes: PrefixDirectory::default(),
+            pace_news: PaceNews::default(),
             paced_services: BTreeSet::new(),
             placement: settings.placement.clone(),
             queue_delays: QueueDelayEstimator::new(settings.pressure.clone()),
@@ -247,6 +264,7 @@
                 known.notice.born_ms == notice.born_ms && known.notice.address == notice.address;
             if !is_same_process {
                 self.health.forget(&notice.id);
+                self.prefixes.forget(endpoint_hash(&notice.id));
                 known.report = None;
                 known.is_misdirected = false;
                 known.is_leaving = is_leaving;
--- a/crates/entry/tests/state.rs
+++ b/crates/entry/tests/state.rs
@@ -118,6 +118,8 @@
         prompt: PromptSize::default(),
         lane: ModelLane::Any,
         tried: &tried,
+        output_tokens: 0.0,
+        max_pause: std::time::Duration::from_secs(2),
     };
     state.choose(now, &request)
 }
