Find the leading keeper at once after all instances have lost power

Cause: an entry's connection attempt to a keeper without power hangs until the opening packet is sent again, a second later, and later calls to that keeper wait for the same attempt. A keeper that refused the first poll because it had just started was not polled again.

Change: connection attempts end after 250 ms; a keeper that fails a poll is polled again during the search.

--- a/crates/entry/src/forward/leader_search.rs
+++ b/crates/entry/src/forward/leader_search.rs
@@ -86,7 +86,13 @@
                     polls.push(poll_after(SAME_KEEPER_DELAY, address));
                 }
             }
-            KeeperAnswer::Failed(reason) => problem = format!("{address}: {reason}"),
+            KeeperAnswer::Failed(reason) => {
+                problem = format!("{address}: {reason}");
+                // A keeper that is starting refuses connections at first.
+                if started_at.elapsed() + SAME_KEEPER_DELAY < REPEAT_LIMIT {
+                    polls.push(poll_after(SAME_KEEPER_DELAY, address));
+                }
+            }
         }
     }
     Err(problem)
--- a/crates/entry/tests/leader_search.rs
+++ b/crates/entry/tests/leader_search.rs
@@ -94,3 +94,23 @@
     assert_eq!(found.expect("a leader").address, "follower-1");
     assert!(started_at.elapsed() < Duration::from_millis(600));
 }
+
+/// Guards against an entry that waits for the other keepers' timeouts after all have lost power, while
+/// the keeper that wins the election has just started.
+#[tokio::test(start_paused = true)]
+async fn a_keeper_that_refused_the_first_poll_is_polled_again() {
+    let started_at = tokio::time::Instant::now();
+    let is_up = move || started_at.elapsed() >= Duration::from_millis(150);
+    let answer = |address: String| async move {
+        match address.as_str() {
+            "starting-1" if is_up() => KeeperAnswer::Leader(7),
+            "starting-1" => KeeperAnswer::Failed("connection refused".to_owned()),
+            _ => std::future::pending().await,
+        }
+    };
+
+    let found = search_leader(&addresses(&["starting-1", "dark-2", "dark-3"]), answer).await;
+
+    assert_eq!(found.expect("a leader").address, "starting-1");
+    assert!(started_at.elapsed() < Duration::from_millis(300));
+}
--- a/crates/wire/src/rpc_client.rs
+++ b/crates/wire/src/rpc_client.rs
@@ -94,6 +94,11 @@
     }
 }
 
+/// Timeout of one connection attempt. The opening packet to a machine without power is lost and sent
+/// again only after a second, when the machine may have been back for long: a new attempt finds it at
+/// once.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+
 struct PendingCall {
     address: String,
     method: Method,
@@ -257,8 +262,14 @@
     if let Some(client) = cached_client.as_ref() {
         return Ok(client.clone());
     }
-    let stream = TcpStream::connect(address)
+    let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
         .await
+        .map_err(|_| {
+            CallError::NotSent(format!(
+                "{address}: not connected after {} ms",
+                CONNECT_TIMEOUT.as_millis()
+            ))
+        })?
         .map_err(|error| CallError::NotSent(format!("{address}: {error}")))?;
     let _ = stream.set_nodelay(true);
     let network = twoparty_network(stream, Side::Client);
