Check a configuration before it is submitted

Cause: operators learn of a mistake in a configuration from the keepers' rejection, or, where a part has no effect (a prefix without its last slash, a service that no route uses, a target above the timeout), not at all.

Change: `chestnutloft config check FILE [--against FILE]` for plan sheets and `chestnutloft-platform-check` for the platform's format list errors, warnings and differences from another version as text or JSON; exit status 0, 1 or 2. Errors come from the keepers' own checks; `RouteDeclaration::check` now knows the index of each finding. A prefix is judged by `RouteTable`, a split by `RouteRule::pick_share`, which moved from the entry to the core unchanged. A short row of a sheet is a warning; a missing workbook is reported as such. The operator's main.rs is split.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,6 +10,7 @@
 //! are separate from those of the plan. Keepers replicate the state of both, as
 //! [`state::KeeperState`], through [`consensus`].
 
+pub mod check_report;
 pub mod consensus;
 pub mod execution;
 pub mod hash;
--- a/crates/core/src/plan/check.rs
+++ b/crates/core/src/plan/check.rs
@@ -125,7 +125,7 @@
     )
 }
 
-fn versions_in_service<'a>(
+pub(super) fn versions_in_service<'a>(
     plan: &'a PlanDeclaration,
     allowed: &'a BTreeSet<VersionId>,
 ) -> impl Iterator<Item = &'a super::VersionRule> {
--- a/crates/core/src/plan/mod.rs
+++ b/crates/core/src/plan/mod.rs
@@ -7,6 +7,7 @@
 mod finding;
 mod rollout;
 mod view;
+mod warnings;
 
 pub use change::{
     CHANGE_HISTORY, ChangeOutcome, PlanChange, PlanState, PlanUpdate, SubmittedChange,
@@ -21,3 +22,4 @@
 pub use finding::{PlanFinding, SheetPlace};
 pub use rollout::{RolloutPhase, RolloutProgress};
 pub use view::PlanView;
+pub use warnings::plan_warnings;
--- a/crates/core/src/routing/declaration.rs
+++ b/crates/core/src/routing/declaration.rs
@@ -75,6 +75,25 @@
     pub needs_key: bool,
 }
 
+impl RouteRule {
+    /// Host and prefix, which identify the route within a declaration.
+    pub fn location(&self) -> (&str, &str) {
+        (&self.host, &self.prefix)
+    }
+
+    /// Picks one of the route's services by weight. Equal values of `key_hash` pick the same one.
+    pub fn pick_share(&self, key_hash: u64) -> Option<&ServiceShare> {
+        let weights = self.shares.iter().map(|share| u64::from(share.weight));
+        let mut offset = key_hash.checked_rem(weights.sum())?;
+        self.shares.iter().find(|share| {
+            let weight = u64::from(share.weight);
+            let is_picked = offset < weight;
+            offset = offset.saturating_sub(weight);
+            is_picked
+        })
+    }
+}
+
 /// A model that the endpoints of a service run.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ModelRule {
@@ -219,55 +238,73 @@
     },
 }
 
+impl DeclarationFinding {
+    /// What is wrong, without the route or workspace that it is wrong with.
+    pub fn problem(&self) -> String {
+        match self {
+            Self::UnknownService { service, .. } => format!("service {service} is not declared"),
+            Self::SamePlace { .. } => "another route has this host and prefix".to_owned(),
+            Self::NoWeight { .. } => "the weights add up to 0".to_owned(),
+            Self::NoTimeout { .. } => "the timeout is 0".to_owned(),
+            Self::SharedKey { .. } => "a key belongs to another workspace too".to_owned(),
+            Self::Unreadable { reason } => format!("the declaration does not decode: {reason}"),
+        }
+    }
+}
+
 impl fmt::Display for DeclarationFinding {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::UnknownService { route, service } => {
-                write!(f, "route {route}: service {service} is not declared")
-            }
-            Self::SamePlace { route } => {
-                write!(f, "route {route}: another route has this host and prefix")
-            }
-            Self::NoWeight { route } => write!(f, "route {route}: the weights add up to 0"),
-            Self::NoTimeout { route } => write!(f, "route {route}: the timeout is 0"),
-            Self::SharedKey { workspace } => {
-                write!(
-                    f,
-                    "workspace {workspace}: a key belongs to another workspace too"
-                )
-            }
-            Self::Unreadable { reason } => write!(f, "the declaration does not decode: {reason}"),
+            Self::UnknownService { route, .. }
+            | Self::SamePlace { route }
+            | Self::NoWeight { route }
+            | Self::NoTimeout { route } => write!(f, "route {route}: ")?,
+            Self::SharedKey { workspace } => write!(f, "workspace {workspace}: ")?,
+            Self::Unreadable { .. } => {}
         }
+        f.write_str(&self.problem())
     }
 }
 
+/// A finding, with the index of the route or workspace that it concerns.
+pub(super) type LocatedFinding = (usize, DeclarationFinding);
+
 impl RouteDeclaration {
     /// Validates the declaration and returns everything that is wrong with it.
     pub fn check(&self) -> Vec<DeclarationFinding> {
+        let located = self.located_findings().into_iter();
+        located.map(|(_, finding)| finding).collect()
+    }
+
+    /// The findings of [`Self::check`] with their places.
+    pub(super) fn located_findings(&self) -> Vec<LocatedFinding> {
         let mut findings = Vec::new();
         let services: BTreeSet<&str> = self.services.iter().map(|rule| &*rule.name).collect();
         let mut locations = BTreeSet::new();
-        for route in &self.routes {
-            check_route(route, &services, &mut findings);
-            if !locations.insert((&*route.host, &*route.prefix)) {
-                findings.push(DeclarationFinding::SamePlace {
+        for (index, route) in self.routes.iter().enumerate() {
+            let mut found = Vec::new();
+            check_route(route, &services, &mut found);
+            if !locations.insert(route.location()) {
+                found.push(DeclarationFinding::SamePlace {
                     route: Arc::clone(&route.name),
                 });
             }
+            findings.extend(found.into_iter().map(|finding| (index, finding)));
         }
         self.check_keys(&mut findings);
         findings
     }
 
-    fn check_keys(&self, findings: &mut Vec<DeclarationFinding>) {
+    fn check_keys(&self, findings: &mut Vec<LocatedFinding>) {
         let mut owners: BTreeMap<&str, &str> = BTreeMap::new();
-        for workspace in &self.workspaces {
+        for (index, workspace) in self.workspaces.iter().enumerate() {
             for key in &workspace.keys {
                 let owner = owners.entry(key).or_insert(&workspace.name);
                 if **owner != *workspace.name {
-                    findings.push(DeclarationFinding::SharedKey {
+                    let finding = DeclarationFinding::SharedKey {
                         workspace: Arc::clone(&workspace.name),
-                    });
+                    };
+                    findings.push((index, finding));
                 }
             }
         }
--- a/crates/core/src/routing/declaration_update.rs
+++ b/crates/core/src/routing/declaration_update.rs
@@ -46,14 +46,14 @@
         let before: HashMap<_, _> = old
             .routes
             .iter()
-            .map(|rule| (location(rule), rule))
+            .map(|rule| (rule.location(), rule))
             .collect();
-        let after: HashSet<_> = new.routes.iter().map(location).collect();
-        let is_new_or_changed = |rule: &&RouteRule| before.get(&location(rule)) != Some(rule);
+        let after: HashSet<_> = new.routes.iter().map(RouteRule::location).collect();
+        let is_new_or_changed = |rule: &&RouteRule| before.get(&rule.location()) != Some(rule);
         let dropped = old
             .routes
             .iter()
-            .filter(|rule| !after.contains(&location(rule)));
+            .filter(|rule| !after.contains(&rule.location()));
         Self {
             number: new.number,
             is_whole: false,
@@ -99,10 +99,6 @@
     }
 }
 
-fn location(rule: &RouteRule) -> (&str, &str) {
-    (&rule.host, &rule.prefix)
-}
-
 /// Updates to the declaration in force, computed once for all entries with the same declaration.
 #[derive(Clone, Debug, Default)]
 pub struct DeclarationUpdates {
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -5,6 +5,10 @@
 mod budgets;
 mod canary;
 mod declaration;
+mod declaration_check;
+mod declaration_diff;
+mod declaration_place;
+mod declaration_sessions;
 mod declaration_update;
 mod directory;
 mod endpoint_rest;
@@ -31,6 +35,13 @@
     CallKind, CallerLimits, DeclarationFinding, EngineRule, ModelRule, RouteDeclaration, RouteRule,
     ServiceRule, ServiceShare, WorkspaceRule,
 };
+pub use declaration_check::{
+    DeclarationCheckFinding, DeclarationCheckSettings, check_route_declaration,
+    unreadable_declaration,
+};
+pub use declaration_diff::describe_declaration_change;
+pub use declaration_place::{DeclarationPlace, DeclarationSection};
+pub use declaration_sessions::check_replacement;
 pub use declaration_update::{DeclarationUpdate, DeclarationUpdates};
 pub use directory::{
     ChangeIndex, DirectoryChange, EndpointDirectory, EndpointNotice, EndpointPhase, NoticeOutcome,
--- a/crates/core/tests/routing/main.rs
+++ b/crates/core/tests/routing/main.rs
@@ -4,6 +4,7 @@
 mod budgets;
 mod canary;
 mod declaration;
+mod declaration_check;
 mod directory;
 mod endpoint_rest;
 mod escalation;
--- a/crates/entry/src/forward/inbound.rs
+++ b/crates/entry/src/forward/inbound.rs
@@ -252,8 +252,7 @@
         }
         KeyLookup::Owner(workspace) => Some(workspace),
     };
-    let share =
-        pick_service(&route.shares, head).ok_or_else(|| refuse_if_current(CallRefusal::NoRoute))?;
+    let share = pick_service(route, head).ok_or_else(|| refuse_if_current(CallRefusal::NoRoute))?;
     let service = table
         .service(&share.service)
         .ok_or_else(|| refuse_if_current(CallRefusal::NoRoute))?;
@@ -262,14 +261,7 @@
 
 /// Picks one of a route's services by weight. The hash of the session, or of the call id without
 /// one, decides, so all calls of a session go to the same service.
-fn pick_service<'a>(shares: &'a [ServiceShare], head: &CallHead) -> Option<&'a ServiceShare> {
-    let total: u64 = shares.iter().map(|share| u64::from(share.weight)).sum();
+fn pick_service<'a>(route: &'a RouteRule, head: &CallHead) -> Option<&'a ServiceShare> {
     let key = head.session.as_deref().unwrap_or(&head.id);
-    let mut offset = key_hash(key.as_bytes()).checked_rem(total)?;
-    shares.iter().find(|share| {
-        let weight = u64::from(share.weight);
-        let is_picked = offset < weight;
-        offset = offset.saturating_sub(weight);
-        is_picked
-    })
+    route.pick_share(key_hash(key.as_bytes()))
 }
--- a/crates/operator/src/main.rs
+++ b/crates/operator/src/main.rs
@@ -5,107 +5,20 @@
 use std::time::{Duration, Instant};
 
 use chestnutloft_core::plan::{
-    ChangeOutcome, DeclarationPatch, PlanChange, PlanDeclaration, RolloutPhase, RolloutProgress,
-    SubmittedChange, SubmittedContent, describe_patch,
+    ChangeOutcome, PlanChange, RolloutPhase, RolloutProgress, SubmittedChange, SubmittedContent,
 };
 use chestnutloft_entry::explain::DecisionRecord;
 use chestnutloft_keeper::operator::MemberRequest;
 use chestnutloft_operator::client::OperatorClient;
+use chestnutloft_operator::config_check::check_sheets;
 use chestnutloft_operator::print::{outcome_text, status_text};
-use chestnutloft_plan::read_plan;
 use chestnutloft_wire::{auth, clock, http};
 
 use flags::ChestnutloftCmd as Command;
+use plan_commands::{apply_plan, check_plan, diff_plan};
 
-mod flags {
-    use std::path::PathBuf;
-
-    xflags::xflags! {
-        /// The operators' command line of chestnutloft.
-        cmd chestnutloft {
-            /// Operator address of a keeper, IP:port; may be given several times.
-            repeated --keeper keeper: String
-            /// File with the operator's key.
-            optional --key-file key_file: PathBuf
-            /// Name under which changes are recorded.
-            optional --operator operator: String
-            /// `text` or `json`.
-            optional --output output: String
-
-            /// Commands on plan sheets.
-            cmd plan {
-                /// Lists all findings of plan sheets.
-                cmd check {
-                    /// Folder of CSV files, or a workbook.
-                    required sheet: PathBuf
-                }
-                /// Shows what plan sheets would change in the plan.
-                cmd diff {
-                    /// Folder of CSV files, or a workbook.
-                    required sheet: PathBuf
-                }
-                /// Submits plan sheets and waits until they are in force.
-                cmd apply {
-                    /// Folder of CSV files, or a workbook.
-                    required sheet: PathBuf
-                    /// Plan revision that the sheets are based on; the latest by default.
-                    optional --base base: u64
-                }
-            }
-            /// Shows revisions, domains, versions, keepers, entries and roll-outs.
-            cmd status {}
-            /// Shows the totals of all bills, as JSON.
-            cmd spend {}
-            /// Takes a failure domain out of service.
-            cmd drain {
-                /// The failure domain.
-                required domain: String
-            }
-            /// Puts a failure domain back into service.
-            cmd return {
-                /// The failure domain.
-                required domain: String
-            }
-            /// Withdraws a version permanently.
-            cmd withdraw {
-                /// The version, `model@version`.
-                required version: String
-                /// Version that its sessions move to.
-                optional --successor successor: String
-            }
-            /// Ends the quarantine of a version.
-            cmd clear {
-                /// The version, `model@version`.
-                required version: String
-            }
-            /// Stops, continues or rolls back a roll-out.
-            cmd rollout {
-                /// The roll-out.
-                required rollout: String
-                /// `stop`, `go-on` or `back`.
-                required action: String
-            }
-            /// Adds or removes a keeper.
-            cmd members {
-                /// `add` or `remove`.
-                required action: String
-                /// Replica id of the keeper.
-                required replica: u64
-                /// RPC address, for `add`.
-                optional address: String
-            }
-            /// Shows how a request was routed, and why.
-            cmd explain {
-                /// Request id, from header x-request-id.
-                required request: String
-                /// Address of an entry, IP:port; may be given several times.
-                repeated --entry entry: String
-            }
-            /// Reads a key from standard input and prints its hash, for plans and settings.
-            cmd hash-key {}
-        }
-    }
-}
+mod flags;
+mod plan_commands;
 
 /// Exit code for findings, conflicts and invalid changes.
 const EXIT_FINDINGS: u8 = 2;
@@ -124,11 +37,16 @@
 #[tokio::main(flavor = "current_thread")]
 async fn main() -> ExitCode {
     let flags = flags::Chestnutloft::from_env_or_exit();
+    // Status 1 of a check stands for warnings.
+    let failure = match flags.subcommand {
+        Command::Config(_) => ExitCode::from(EXIT_FINDINGS),
+        _ => ExitCode::FAILURE,
+    };
     match run(flags).await {
         Ok(code) => code,
         Err(problem) => {
             eprintln!("chestnutloft: {problem}");
-            ExitCode::FAILURE
+            failure
         }
     }
 }
@@ -157,6 +75,7 @@
             flags::PlanCmd::Diff(diff) => diff_plan(&context, &diff.sheet).await,
             flags::PlanCmd::Apply(apply) => apply_plan(&context, &apply.sheet, apply.base).await,
         },
+        Command::Config(config) => check_config(&context, &config),
         Command::Status(_) => show_status(&context).await,
         Command::Spend(_) => show_spend(&context).await,
         Command::Drain(drain) => {
@@ -215,84 +134,20 @@
     );
 }
 
-/// Reads the plan sheets at `sheet`. Prints the findings and returns `None` if there are any.
-fn read_valid_plan(context: &CommandContext, sheet: &Path) -> Option<PlanDeclaration> {
-    let plan = read_plan(sheet);
-    if plan.findings.is_empty() {
-        return Some(plan.declaration);
-    }
-    if context.is_json {
-        print_json(&plan.findings);
-    } else {
-        for finding in &plan.findings {
-            println!("{finding}");
-        }
-        if plan.dropped_findings > 0 {
-            println!("and {} more findings", plan.dropped_findings);
-        }
-    }
-    None
-}
-
-fn check_plan(context: &CommandContext, sheet: &Path) -> ExitCode {
-    let Some(plan) = read_valid_plan(context, sheet) else {
-        return ExitCode::from(EXIT_FINDINGS);
-    };
-    if context.is_json {
-        print_json(&Vec::<String>::new());
-    } else {
-        println!(
-            "No findings: {} workspaces, {} versions, {} targets, {} roll-outs, {} outages.",
-            plan.workspaces.len(),
-            plan.versions.len(),
-            plan.targets.len(),
-            plan.rollouts.len(),
-            plan.outages.len()
-        );
+fn check_config(context: &CommandContext, config: &flags::Config) -> Result<ExitCode, String> {
+    if config.action != "check" {
+        return Err(format!(
+            "config {:?} is unknown; write check",
+            config.action
+        ));
     }
-    ExitCode::SUCCESS
-}
-
-async fn diff_plan(context: &CommandContext, sheet: &Path) -> Result<ExitCode, String> {
-    let Some(plan) = read_valid_plan(context, sheet) else {
-        return Ok(ExitCode::from(EXIT_FINDINGS));
-    };
-    let current = context.client.plan().await.map_err(|e| e.to_string())?;
-    let patch = DeclarationPatch::between(&current.declaration, &plan);
-    let lines = describe_patch(&current.declaration, &patch);
+    let report = check_sheets(&config.file, config.against.as_deref());
     if context.is_json {
-        print_json(&lines);
-    } else if lines.is_empty() {
-        println!("Nothing would change.");
+        print_json(&report);
     } else {
-        for line in &lines {
-            println!("{line}");
-        }
+        print!("{report}");
     }
-    Ok(ExitCode::SUCCESS)
-}
-
-async fn apply_plan(
-    context: &CommandContext,
-    sheet: &Path,
-    base: Option<u64>,
-) -> Result<ExitCode, String> {
-    let Some(plan) = read_valid_plan(context, sheet) else {
-        return Ok(ExitCode::from(EXIT_FINDINGS));
-    };
-    let base = match base {
-        Some(base) => base,
-        None => {
-            context
-                .client
-                .plan()
-                .await
-                .map_err(|e| e.to_string())?
-                .revision
-        }
-    };
-    let declaration = SubmittedContent::Declaration(Box::new(plan));
-    submit_content(context, Some(base), declaration).await
+    Ok(ExitCode::from(report.exit_status()))
 }
 
 async fn submit(context: &CommandContext, change: PlanChange) -> Result<ExitCode, String> {
--- a/crates/plan/src/read.rs
+++ b/crates/plan/src/read.rs
@@ -7,7 +7,7 @@
 use chestnutloft_core::plan::{
     DomainRule, FencingSupport, MethodRule, OutageWindow, PlanDeclaration, PlanFinding,
     QualityTarget, RolloutRule, RolloutStep, ServiceKind, ServiceRule, SheetPlace, VersionRule,
-    WorkspaceRule, check_declaration,
+    WorkspaceRule, check_declaration, plan_warnings,
 };
 
 use crate::row::{FindingList, RowReader};
@@ -23,12 +23,16 @@
     pub findings: Vec<PlanFinding>,
     /// Number of findings beyond [`MAX_FINDINGS`](crate::row::MAX_FINDINGS), which are not listed.
     pub dropped_findings: usize,
+    /// Warnings, sorted by place. They don't keep the plan from being applied. Warnings across rows
+    /// are looked for only in a plan without findings.
+    pub warnings: Vec<PlanFinding>,
 }
 
 #[derive(Default)]
 struct PlanBuilder {
     plan: PlanDeclaration,
     findings: FindingList,
+    warnings: FindingList,
     /// First row that declares an item, by sheet and item key.
     first_rows: BTreeMap<(&'static str, String), u32>,
     rollout_steps: BTreeMap<RolloutId, BTreeMap<u64, RolloutStep>>,
@@ -122,6 +126,7 @@
         header: &[String],
         cells: &[String],
     ) {
+        self.check_row_length(spec, number, header, cells);
         let mut findings = std::mem::take(&mut self.findings);
         let mut row = RowReader::new(spec.name, number, header, cells, &mut findings);
         // A row with an invalid cell is skipped; its findings are already recorded.
@@ -139,6 +144,22 @@
         self.findings = findings;
     }
 
+    /// A missing last cell reads as an empty one. A file that was cut off may lack it.
+    fn check_row_length(
+        &mut self,
+        spec: &SheetSpec,
+        number: u32,
+        header: &[String],
+        cells: &[String],
+    ) {
+        if cells.len() < header.len() {
+            let problem = format!("the row has {} of {} cells", cells.len(), header.len());
+            let remedy = "write all cells, or fetch the file again if it was cut off";
+            let place = SheetPlace::new(spec.name, number, "");
+            self.warnings.push(PlanFinding::new(place, problem, remedy));
+        }
+    }
+
     /// Records that `row` declares `key`. A second row with the same key is a finding.
     fn record_row(&mut self, spec: &SheetSpec, row: &mut RowReader<'_>, key: String) -> Option<()> {
         let number = row.number();
@@ -350,10 +371,16 @@
         let mut findings = self.findings.kept;
         findings.sort();
         findings.dedup();
+        let mut warnings = self.warnings.kept;
+        if findings.is_empty() {
+            warnings.extend(plan_warnings(&self.plan, &place));
+        }
+        warnings.sort();
         ReadPlan {
             declaration: self.plan,
             findings,
             dropped_findings: self.findings.dropped,
+            warnings,
         }
     }
 }
--- a/crates/plan/src/source.rs
+++ b/crates/plan/src/source.rs
@@ -40,7 +40,9 @@
         if path.is_dir() {
             return Ok(Self::Folder(path.to_owned()));
         }
-        let size = std::fs::metadata(path).map_or(0, |meta| meta.len());
+        let size = std::fs::metadata(path)
+            .map_err(|error| sheet_finding(&name, error.to_string(), "name an existing file"))?
+            .len();
         if size > MAX_FILE_BYTES {
             let problem = format!("the file has {size} bytes");
             return Err(sheet_finding(&name, problem, "at most 64 MiB are read"));
