--- a/crates/core/tests/routing/main.rs
+++ b/crates/core/tests/routing/main.rs
@@ -5,6 +5,7 @@
 mod canary;
 mod capacity_ledger;
 mod declaration;
+mod declaration_check;
 mod directory;
 mod endpoint_pace;
 mod endpoint_rest;
