Move the growth of a warm-up's limit into a module of its own

Cause: endpoints that entries forward calls to will warm up by the same rule as those of the product's own request path.

Change: `LimitGrowth` holds the rounds of answers that `WarmupRamp` counted; the ramp keeps its settings and its streak. The rank of an entry by rendezvous hash, which `EndpointRateLimiter` computed, is a function of its own. No behaviour changes.

Tests: core tests credits (4), warm_up (1) and routing (128) passed; none was changed.

--- a/crates/core/src/hash.rs
+++ b/crates/core/src/hash.rs
@@ -26,3 +26,11 @@
         .into_iter()
         .max_by_key(|node| rendezvous_weight(key, (*node).as_ref()))
 }
+
+/// Number of `nodes` other than `own` that have a higher rendezvous weight for `key` than `own`.
+pub fn rendezvous_rank<N: AsRef<str>>(key: &str, own: &str, nodes: &[N]) -> usize {
+    let weight = |node: &str| rendezvous_weight(key.as_bytes(), node.as_bytes());
+    let own_weight = weight(own);
+    let others = nodes.iter().map(AsRef::as_ref).filter(|node| *node != own);
+    others.filter(|node| weight(node) > own_weight).count()
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod hash;
 pub mod ids;
 pub mod ledger;
+pub mod limit_growth;
 pub mod pipe;
 pub mod plan;
 pub mod routing;
--- a/crates/core/src/routing/budgets.rs
+++ b/crates/core/src/routing/budgets.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::hash::rendezvous_weight;
+use crate::hash::rendezvous_rank;
 use crate::time::TimePoint;
 
 /// Buckets per sliding window.
@@ -145,12 +145,7 @@
     /// rendezvous hash may send, and the others get 0.
     pub fn entry_share(id: &str, own: &str, entries: &[Arc<str>], per_s: f64) -> RateShare {
         let senders = (per_s / MIN_CALLS_PER_ENTRY).floor().max(1.0) as usize;
-        let own_weight = rendezvous_weight(id.as_bytes(), own.as_bytes());
-        let rank = entries
-            .iter()
-            .filter(|entry| ***entry != *own)
-            .filter(|entry| rendezvous_weight(id.as_bytes(), entry.as_bytes()) > own_weight)
-            .count();
+        let rank = rendezvous_rank(id, own, entries);
         let senders = senders.min(entries.len().max(1));
         let calls = per_s / senders as f64;
         let min_per_s = 1.0 / MAX_RATE_WINDOW.as_secs_f64();
--- a/crates/core/src/state/ramp.rs
+++ b/crates/core/src/state/ramp.rs
@@ -2,6 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::limit_growth::{GrowthRule, LimitGrowth};
+
 /// Growth of a cold endpoint's concurrency limit.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -31,14 +33,21 @@
     }
 }
 
+impl RampSettings {
+    fn growth_rule(&self) -> GrowthRule {
+        GrowthRule {
+            growth_percent: self.growth_percent,
+            answers_per_slot: self.answers_per_slot,
+            max_bad_share: self.slow_share,
+        }
+    }
+}
+
 /// Concurrency limit of one endpoint that warms up.
 #[derive(Clone, Debug, PartialEq)]
 pub struct WarmupRamp {
-    settings: RampSettings,
-    limit: u32,
-    full_slots: u32,
-    healthy: u32,
-    slow: u32,
+    warm_after: u32,
+    growth: LimitGrowth,
     healthy_streak: u32,
 }
 
@@ -46,11 +55,8 @@
     /// A cold endpoint that serves `full_slots` concurrent requests when warm.
     pub fn cold(settings: &RampSettings, full_slots: u32) -> Self {
         Self {
-            settings: settings.clone(),
-            limit: settings.initial_slots.min(full_slots.max(1)),
-            full_slots: full_slots.max(1),
-            healthy: 0,
-            slow: 0,
+            warm_after: settings.warm_after,
+            growth: LimitGrowth::new(settings.growth_rule(), settings.initial_slots, full_slots),
             healthy_streak: 0,
         }
     }
@@ -58,19 +64,19 @@
     /// An endpoint that is known to be warm.
     pub fn warm(settings: &RampSettings, full_slots: u32) -> Self {
         Self {
-            limit: full_slots.max(1),
+            growth: LimitGrowth::new(settings.growth_rule(), full_slots.max(1), full_slots),
             ..Self::cold(settings, full_slots)
         }
     }
 
     /// Number of concurrent requests that the endpoint may receive now.
     pub fn limit(&self) -> u32 {
-        self.limit
+        self.growth.limit()
     }
 
     /// Whether the endpoint has warmed up and the limit no longer applies.
     pub fn is_warm(&self) -> bool {
-        self.limit() >= self.full_slots || self.healthy_streak >= self.settings.warm_after
+        self.growth.is_full() || self.healthy_streak >= self.warm_after
     }
 
     /// Records `healthy` answers, whose first token came in time, and `slow` ones, which were late
@@ -79,25 +85,11 @@
         if self.is_warm() {
             return;
         }
-        self.healthy += healthy;
-        self.slow += slow;
-        let seen = self.healthy + self.slow;
         if slow == 0 {
             self.healthy_streak += healthy;
         } else {
             self.healthy_streak = 0;
         }
-        if seen < self.limit() * self.settings.answers_per_slot {
-            return;
-        }
-        let slow_share = f64::from(self.slow) / f64::from(seen);
-        if slow_share >= self.settings.slow_share {
-            self.limit = (self.limit / 2).max(1);
-        } else {
-            let growth = (self.limit * self.settings.growth_percent / 100).max(1);
-            self.limit = (self.limit + growth).min(self.full_slots);
-        }
-        self.healthy = 0;
-        self.slow = 0;
+        self.growth.observe(healthy, slow);
     }
 }
