Warm up started and recovered endpoints by shared evidence

Cause: an endpoint that starts or comes back is idle and so draws calls from all entries at once. Cold, it answers late; unhealthy, it takes down the calls of each entry until that entry has failures of its own.

Change: `SlowStartControl` limits the concurrent calls of all entries at such an endpoint. The limit doubles with each round of sound answers, falls to one probe with a bad one, and ends after 3 s without bad answers. Entries exchange counts of answers per endpoint and epoch with their load. Limits are raised when more than a third of a pool warms up; probes are at most a fifth of an entry's calls. Only services with managed capacity are affected; cold rates and stated limits bind as before.

--- a/crates/core/src/routing/health.rs
+++ b/crates/core/src/routing/health.rs
@@ -91,6 +91,11 @@
         health.is_some_and(|health| health.ejected_until.is_some_and(|until| now < until))
     }
 
+    /// End of the last ejection of `id`, if it has not answered successfully since.
+    pub fn ejected_until(&self, id: &str) -> Option<TimePoint> {
+        self.endpoints.get(id)?.ejected_until
+    }
+
     /// Whether `id` is or was ejected and has not answered successfully since.
     pub fn is_recovering(&self, id: &str) -> bool {
         let health = self.endpoints.get(id);
--- a/crates/core/src/routing/load_aggregation.rs
+++ b/crates/core/src/routing/load_aggregation.rs
@@ -13,6 +13,7 @@
 use crate::hash::key_hash;
 use crate::time::TimePoint;
 
+use super::answer_counts::{AnswerCount, AnswerTable};
 use super::event_gap::EventGapReport;
 use super::leaving_endpoints::{LeavingEndpoints, LeavingStatement};
 use super::rate_limits::{LimitStatement, StatedLimits};
@@ -51,6 +52,8 @@
     pub limits: Vec<LimitStatement>,
     /// Endpoints that have said that they leave.
     pub leaving: Vec<LeavingStatement>,
+    /// Answers of endpoints that warm up.
+    pub answers: Vec<AnswerCount>,
 }
 
 #[derive(Clone, Debug)]
@@ -66,6 +69,7 @@
     totals: HashMap<EndpointHash, u64>,
     limits: StatedLimits,
     leaving: LeavingEndpoints,
+    answers: AnswerTable,
 }
 
 impl LoadAggregator {
@@ -83,6 +87,8 @@
         let limits = self.limits.statements(now);
         self.leaving.merge(now, &std::mem::take(&mut load.leaving));
         let leaving = self.leaving.statements(now);
+        let answers = std::mem::take(&mut load.answers);
+        let answers = self.answers.exchange(now, entry, &answers);
         self.drop_expired(now);
         self.drop_report(entry);
         let peer_work = self.totals.iter().map(|(endpoint, total)| WaitingWork {
@@ -105,6 +111,7 @@
             event_gap,
             limits,
             leaving,
+            answers,
         }
     }
 
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -1,6 +1,7 @@
 //! Routing state replicated by the keepers (routes, services, workspaces, endpoints, roll-outs)
 //! and the per-call decisions that entries make from it.
 
+mod answer_counts;
 mod body_memory;
 mod budgets;
 mod canary;
@@ -8,6 +9,7 @@
 mod declaration_update;
 mod directory;
 mod endpoint_rest;
+mod endpoint_warmup;
 mod escalation;
 mod event_gap;
 mod health;
@@ -21,9 +23,11 @@
 mod segment_faults;
 mod segment_knowledge;
 mod sessions;
+mod slow_start;
 mod state;
 mod table;
 
+pub use answer_counts::{AnswerCount, AnswerTable};
 pub use body_memory::{BodyDirection, BodyMemory, BodyPool, MAX_SMALL_BODY_BYTES};
 pub use budgets::{EndpointRateLimiter, RateShare, ServiceRetryBudget, ServiceRetrySettings};
 pub use canary::{ArmCount, ArmKey, CanaryAnalysis, CanaryThresholds, VersionVerdict};
@@ -57,6 +61,10 @@
 };
 pub use segment_knowledge::{SegmentAdmission, SegmentKnowledge};
 pub use sessions::{SessionHash, SessionVersions, VersionPreference, session_hash};
+pub use slow_start::{
+    PoolWarmth, SlowStartControl, SlowStartSettings, WarmupCause, WarmupChange, WarmupEvent,
+    WarmupRequest, WarmupStart,
+};
 pub use state::{
     RoutingCommand, RoutingOutcome, RoutingRevision, RoutingState, RoutingUpdate, StoredDeclaration,
 };
--- a/crates/core/tests/routing/main.rs
+++ b/crates/core/tests/routing/main.rs
@@ -18,5 +18,7 @@
 mod segment_faults;
 mod segment_knowledge;
 mod sessions;
+mod slow_start;
+mod slow_start_fleet;
 mod state;
 mod table;
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -92,7 +92,12 @@
         endpoint: ChosenEndpoint,
     ) -> Self {
         let work_ms = endpoint.prefill.work_ms;
-        context.state().start_attempt(now, &endpoint.id, work_ms);
+        let mut state = context.state();
+        state.start_attempt(now, &endpoint.id, work_ms);
+        if state.is_warming(&endpoint.id) {
+            context.metrics.record_warming_call(call);
+        }
+        drop(state);
         context.load_exchange.notify_changed();
         Self {
             context: Arc::clone(context),
--- a/crates/entry/src/forward/choice.rs
+++ b/crates/entry/src/forward/choice.rs
@@ -186,6 +186,7 @@
         now: TimePoint,
         request: &SelectionRequest<'_>,
     ) -> Result<ChosenEndpoint, NoEndpoint> {
+        self.sweep_warmups(now);
         let preference = self.version_preference(now, request);
         let mut outcome = Err(NoEndpoint::NoneReady);
         for group in self.version_groups(&request.service.name, preference) {
@@ -224,9 +225,11 @@
         if connectable.is_empty() {
             return Err(NoEndpoint::ConnectionsInUse);
         }
+        let warmth = self.pool_warmth(&request.service.name);
         let with_capacity: Vec<&EndpointState> = connectable
             .into_iter()
             .filter(|endpoint| self.has_rate_capacity(now, endpoint, request.service))
+            .filter(|endpoint| self.has_warmup_capacity(now, endpoint, request.service, warmth))
             .collect();
         if with_capacity.is_empty() {
             return Err(NoEndpoint::AtRateLimit);
--- a/crates/entry/src/forward/metrics.rs
+++ b/crates/entry/src/forward/metrics.rs
@@ -37,6 +37,8 @@
     blocked_segments: Gauge<u64>,
     limited_endpoints: Gauge<u64>,
     leaving_endpoints: Gauge<u64>,
+    warming_endpoints: Gauge<u64>,
+    warming_calls: Counter<u64>,
     body_memory: Gauge<u64>,
 }
 
@@ -61,6 +63,8 @@
     pub limited_endpoints: usize,
     /// Endpoints that have said that they leave.
     pub leaving_endpoints: usize,
+    /// Endpoints that warm up.
+    pub warming_endpoints: usize,
     /// Memory reserved for bodies, in bytes.
     pub body_bytes: usize,
 }
@@ -129,6 +133,14 @@
                 "chestnutloft.endpoints.leaving",
                 "Endpoints that have said that they leave",
             ),
+            warming_endpoints: gauge(
+                "chestnutloft.endpoints.warming",
+                "Endpoints that warm up after a start or an outage",
+            ),
+            warming_calls: counter(
+                "chestnutloft.warming.calls",
+                "Attempts at endpoints that warm up",
+            ),
             body_memory: gauge("chestnutloft.body_memory", "Bytes reserved for bodies"),
             page,
         }
@@ -191,6 +203,12 @@
         self.attempts.add(1, &labels);
     }
 
+    /// Counts an attempt at an endpoint that warms up.
+    pub fn record_warming_call(&self, call: &InboundCall) {
+        let labels = [KeyValue::new("service", call.service.name.to_string())];
+        self.warming_calls.add(1, &labels);
+    }
+
     /// Counts a response that was discarded in favor of a larger model's.
     pub fn record_escalation(&self, call: &InboundCall) {
         let labels = [KeyValue::new("service", call.service.name.to_string())];
@@ -226,6 +244,8 @@
             .record(gauges.limited_endpoints as u64, &[]);
         self.leaving_endpoints
             .record(gauges.leaving_endpoints as u64, &[]);
+        self.warming_endpoints
+            .record(gauges.warming_endpoints as u64, &[]);
         self.body_memory.record(gauges.body_bytes as u64, &[]);
         self.page.text()
     }
@@ -258,6 +278,7 @@
             blocked_segments: self.segments.blocked_count(),
             limited_endpoints: self.stated_limits.count(),
             leaving_endpoints: self.leaving_count(),
+            warming_endpoints: self.slow_start.warming_count(),
             body_bytes: 0,
         }
     }
--- a/crates/entry/src/forward/mod.rs
+++ b/crates/entry/src/forward/mod.rs
@@ -26,5 +26,6 @@
 pub mod segments;
 mod server;
 pub mod settings;
+mod slow_start;
 pub mod state;
 mod watch;
--- a/crates/entry/src/forward/outcomes.rs
+++ b/crates/entry/src/forward/outcomes.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use chestnutloft_core::routing::{
-    ArmCount, ArmKey, EndpointPhase, EndpointProcess, LoadSummary, WaitingWork, endpoint_hash,
+    ArmCount, ArmKey, EndpointPhase, EndpointProcess, LoadSummary, WaitingWork, WarmupCause,
+    endpoint_hash,
 };
 use chestnutloft_core::time::TimePoint;
 
@@ -39,6 +40,8 @@
                 "health: endpoint {id} asks for no calls for {} ms.",
                 rest.as_millis()
             );
+            let left = endpoint.rest.left(now).unwrap_or_default();
+            self.begin_warmup(now, id, WarmupCause::Rested, now + left);
         }
         is_news
     }
@@ -86,6 +89,7 @@
             event_gap: self.large_model_event_gap.report(now),
             limits: self.stated_limits.statements(now),
             leaving: self.leaving.statements(now),
+            answers: self.slow_start.answers(now),
         }
     }
 
@@ -94,6 +98,7 @@
         self.queue_delays.set_peer_work(now, &peers.work);
         self.peer_event_gap = peers.event_gap;
         self.stated_limits.merge(now, &peers.limits);
+        self.merge_answers(now, &peers.answers);
         let leaving = self.leaving.merge(now, &peers.leaving);
         if !leaving.is_empty() {
             self.spare_leaving(&leaving);
@@ -125,6 +130,7 @@
         if now < endpoint.cold_until || is_limited {
             self.rate_limiter.record_call(now, id);
         }
+        self.record_warmup_call(now, id);
     }
 
     /// Removes the prefill work of an attempt from the endpoint's pending work.
@@ -145,6 +151,7 @@
             self.health.forget(id);
             self.queue_delays.forget(id);
             self.rate_limiter.forget(id);
+            self.slow_start.forget(endpoint_hash(id));
         }
     }
 
@@ -208,6 +215,7 @@
             let cold_until = now + Duration::from_millis(service.cold_ms);
             endpoint.cold_until = endpoint.cold_until.max(cold_until);
         }
+        self.begin_warmup_after_ejection(now, id);
     }
 
     /// Records a failure of the endpoint. Returns whether the endpoint is ejected because of it.
@@ -219,7 +227,11 @@
             .available_endpoints(&endpoint.notice.service)
             .map(|other| Arc::clone(&other.notice.id))
             .collect();
-        self.health.record_failure(now, id, &pool)
+        let is_ejected = self.health.record_failure(now, id, &pool);
+        if is_ejected {
+            self.begin_warmup_after_ejection(now, id);
+        }
+        is_ejected
     }
 
     /// Records the outcome of an attempt for the comparison of versions during a roll-out; `took_s`
--- a/crates/entry/src/forward/pipeline.rs
+++ b/crates/entry/src/forward/pipeline.rs
@@ -350,9 +350,16 @@
         match failure {
             AttemptFailure::Unreachable(_) => {
                 self.context.connections.close_all(&endpoint.address);
-                self.context.state().record_unreachable(now, &endpoint.id);
+                let mut state = self.context.state();
+                state.record_warmup_answer(now, endpoint, false);
+                state.record_unreachable(now, &endpoint.id);
+            }
+            AttemptFailure::NotRun { is_misdirected } => {
+                if !is_misdirected {
+                    let mut state = self.context.state();
+                    state.record_warmup_answer(now, endpoint, false);
+                }
             }
-            AttemptFailure::NotRun { .. } => {}
             AttemptFailure::Broken(_) => {
                 self.record_lost(endpoint);
                 self.record_failure(now, endpoint);
@@ -375,6 +382,7 @@
     /// Records that an endpoint failed a call that it had received.
     pub fn record_failure(&self, now: TimePoint, endpoint: &ChosenEndpoint) {
         let mut state = self.context.state();
+        state.record_warmup_answer(now, endpoint, false);
         if state.record_failure(now, &endpoint.id) {
             spdlog::warn!("health: endpoint {} ejected after a failure.", endpoint.id);
         }
@@ -396,6 +404,8 @@
         let arm = self.arm();
         let mut state = self.context.state();
         state.record_response_start(now, &guard.endpoint, took);
+        let is_sound = took <= self.call.latency_target();
+        state.record_warmup_answer(now, &guard.endpoint, is_sound);
         state
             .health
             .record_success(&guard.endpoint.id, key_hash(arm.as_bytes()), took);
--- a/crates/entry/src/forward/state.rs
+++ b/crates/entry/src/forward/state.rs
@@ -10,7 +10,8 @@
     EndpointRest, EventGapReport, EventGapTracker, HealthSettings, IdleGap, LeavingEndpoints,
     PlacementSettings, PoolHealth, PrefillTimeEstimator, QueueDelayEstimator, RolloutStage,
     RolloutState, RouteDeclaration, RouteTable, RoutingRevision, RoutingUpdate, SegmentAdmission,
-    SegmentKnowledge, ServiceRetryBudget, ServiceRetrySettings, SessionVersions, StatedLimits,
+    SegmentKnowledge, ServiceRetryBudget, ServiceRetrySettings, SessionVersions, SlowStartControl,
+    StatedLimits, WarmupCause, endpoint_hash,
 };
 use chestnutloft_core::time::TimePoint;
 
@@ -100,6 +101,8 @@
     pub health: PoolHealth,
     pub(super) rate_limiter: EndpointRateLimiter,
     pub(super) retry_budget: ServiceRetryBudget,
+    /// Endpoints that warm up.
+    pub(super) slow_start: SlowStartControl,
     /// Outcomes of attempts by service, version and route.
     pub(super) arms: HashMap<ArmKey, ArmCount>,
     /// Whether `arms` has changed since it was last reported.
@@ -148,6 +151,7 @@
             health: PoolHealth::new(HealthSettings::default()),
             rate_limiter: EndpointRateLimiter::default(),
             retry_budget: ServiceRetryBudget::new(retry_settings),
+            slow_start: SlowStartControl::default(),
             arms: HashMap::new(),
             has_new_arm_counts: false,
             stated_limits: StatedLimits::default(),
@@ -209,7 +213,12 @@
         }
         for change in update.endpoints {
             let cold_until = now + Duration::from_millis(change.cold_left_ms);
+            let cause = self.warmup_cause(now, &change);
+            let id = Arc::clone(&change.endpoint.notice.id);
             self.apply_endpoint(change.endpoint.notice, cold_until);
+            if let Some(cause) = cause {
+                self.begin_warmup(now, &id, cause, now);
+            }
         }
         if let Some(evacuated) = update.evacuated {
             self.apply_evacuated(now, evacuated);
@@ -235,6 +244,7 @@
                 self.health.forget(&notice.id);
                 self.queue_delays.forget(&notice.id);
                 self.rate_limiter.forget(&notice.id);
+                self.slow_start.forget(endpoint_hash(&notice.id));
             } else if let Some(known) = self.endpoints.get_mut(&notice.id) {
                 known.notice = notice;
             }
@@ -274,14 +284,19 @@
     fn apply_evacuated(&mut self, now: TimePoint, evacuated: Vec<Arc<str>>) {
         let evacuated: BTreeSet<Arc<str>> = evacuated.into_iter().collect();
         let returned: Vec<_> = self.evacuated.difference(&evacuated).cloned().collect();
+        let mut returned_ids = Vec::new();
         for endpoint in self.endpoints.values_mut() {
             if returned.contains(&endpoint.notice.domain)
                 && let Some(service) = self.table.service(&endpoint.notice.service)
             {
                 let cold_until = now + Duration::from_millis(service.cold_ms);
                 endpoint.cold_until = endpoint.cold_until.max(cold_until);
+                returned_ids.push(Arc::clone(&endpoint.notice.id));
             }
         }
+        for id in returned_ids {
+            self.begin_warmup(now, &id, WarmupCause::DomainReturned, now);
+        }
         spdlog::info!("domains: evacuated failure domains are now {evacuated:?}.");
         self.evacuated = evacuated;
     }
