--- a/crates/core/src/routing/load_aggregation.rs
+++ b/crates/core/src/routing/load_aggregation.rs
@@ -13,6 +13,7 @@
 use crate::hash::key_hash;
 use crate::time::TimePoint;
 
+use super::answer_counts::{AnswerCount, AnswerTable};
 use super::capacity_ledger::{EndpointUsage, UsageTotals};
 use super::endpoint_pace::{PaceReading, PaceReadings, SpeedMeans, SpeedSample};
 use super::event_gap::EventGapReport;
@@ -68,6 +69,8 @@
     pub speeds: Vec<SpeedSample>,
     /// Prompt prefixes that were sent to endpoints, as far as the receiver may not know.
     pub prefixes: Vec<PrefixPlacement>,
+    /// Answers of endpoints that warm up.
+    pub answers: Vec<AnswerCount>,
 }
 
 #[derive(Clone, Debug)]
@@ -89,6 +92,7 @@
     paces: PaceReadings,
     speeds: SpeedMeans,
     prefixes: PlacementLog,
+    answers: AnswerTable,
 }
 
 impl LoadAggregator {
@@ -116,6 +120,8 @@
             .get(entry)
             .and_then(|report| report.speeds_sent_at);
         let is_speed_due = speeds_sent_at.is_none_or(|at| now.since(at) >= SPEED_INTERVAL);
+        let answers = std::mem::take(&mut load.answers);
+        let answers = self.answers.exchange(now, entry, &answers);
         self.drop_expired(now);
         self.drop_report(entry);
         let usage = self.usage.report();
@@ -153,6 +159,7 @@
             } else {
                 Vec::new()
             },
+            answers,
         }
     }
 
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -95,6 +95,9 @@
         let mut state = context.state();
         state.start_attempt(now, &endpoint.id, work_ms);
         state.claim_capacity(now, &endpoint);
+        if state.is_warming(&endpoint.id) {
+            context.metrics.record_warming_call(call);
+        }
         drop(state);
         context.load_exchange.notify_changed();
         Self {
