Decide which runs are copied or moved, and where they may go on

A crash or a leaving endpoint interrupts long streams for the time in which another endpoint processes the whole prompt again. The declaration may offer copies of a run's KV cache, but each costs bandwidth and money.

core::routing::run_copies decides without a clock: decide_copy compares the expected loss (recent terminations, decayed over 10 s) with the price of the bytes, or moves a run whose endpoint leaves; RunMove tells where a moved run may go on, which is nowhere while the earlier run may be at work; select_copy_target spreads runs over about equal targets.

--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -17,6 +17,7 @@
 mod queue_delay;
 mod rate_limits;
 mod rollout;
+mod run_copies;
 mod segment_evidence;
 mod segment_faults;
 mod segment_knowledge;
@@ -51,6 +52,10 @@
 pub use queue_delay::{PrefillTimeEstimator, QueueDelayEstimator, QueueDelaySettings, QueueState};
 pub use rate_limits::{LimitStatement, StatedLimits};
 pub use rollout::{RolloutOrder, RolloutStage, RolloutState, RolloutTiming};
+pub use run_copies::{
+    CopyAnswer, CopyDecision, CopyTarget, MovePlace, RunCopySettings, RunMove, RunOutlook,
+    RunProgress, SourceState, TerminationHistory, decide_copy, select_copy_target,
+};
 pub use segment_faults::{
     EndedEndpoint, EndpointEnd, LostCall, SegmentBlock, SegmentChange, SegmentFaultDetector,
     SegmentFaultSettings, SegmentProgress, SegmentStage, SegmentSuspicion, SegmentSuspicions,
--- a/crates/core/tests/routing/main.rs
+++ b/crates/core/tests/routing/main.rs
@@ -15,6 +15,7 @@
 mod placement;
 mod rate_limits;
 mod rollout;
+mod run_copies;
 mod segment_faults;
 mod segment_knowledge;
 mod sessions;
