Move runs off leaving endpoints and go on from copies

Streams at an endpoint that drained or crashed went on only after another endpoint had processed the prompt again.

An entry now copies the run of a resumable stream whose endpoint leaves while it goes on, stops it, and continues it at the destination in the same response to the caller. An attempt names a backup where the expected loss pays for it, and a stream cut by a crash goes on there. Any failure falls back to the earlier behaviour. Unused copies are freed. A 503 to an attempt that names a copy means that it has not run. Off unless the declaration offers it and the capacity of the service is managed. Metric chestnutloft.run_copies by outcome.

The socket tests found that a run which goes on at its stopped source was moved again until its attempts were used up; it is now left there.

--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -5,9 +5,9 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::Request;
 use hyper::body::Incoming;
 use hyper::http::response::Parts;
+use hyper::{Request, StatusCode};
 
 use chestnutloft_core::execution::AttemptEnd;
 use chestnutloft_core::routing::{CallKind, LostCall};
@@ -224,9 +224,24 @@
         guard,
         connection,
     };
+    if is_copy_missing(call, &response) {
+        let EndpointResponse { mut guard, .. } = response;
+        guard.mark_logged();
+        guard.mark_harmless();
+        return Err(AttemptFailure::NotRun {
+            is_misdirected: false,
+        });
+    }
     check_response(context, response)
 }
 
+/// Whether the endpoint does not have the copy that the attempt was to go on from. It has not run
+/// the call then, and says nothing about its load.
+fn is_copy_missing(call: &InboundCall, response: &EndpointResponse) -> bool {
+    let is_unavailable = response.parts.status == StatusCode::SERVICE_UNAVAILABLE;
+    call.copies.source.is_some() && is_unavailable && response.head.has_call_id
+}
+
 fn check_response(
     context: &ForwardContext,
     mut response: EndpointResponse,
@@ -353,6 +368,8 @@
         time_left: call.time_left(clock::now()),
         resume_after,
         urgency: is_managed.then(|| call.urgency()),
+        backup: call.copies.backup_address(),
+        copy: call.copies.source(),
     };
     let mut request = Request::new(Full::new(call.body.clone()));
     *request.method_mut() = call.parts.method.clone();
--- a/crates/entry/src/forward/choice.rs
+++ b/crates/entry/src/forward/choice.rs
@@ -307,7 +307,7 @@
     }
 
     /// Connections that this entry may open to an endpoint of `service`.
-    fn connection_share(&self, service: &ServiceRule) -> usize {
+    pub(super) fn connection_share(&self, service: &ServiceRule) -> usize {
         let total = f64::from(service.max_connections) * CONNECTION_SHARE;
         let share = (total / self.entries.len().max(1) as f64).floor() as usize;
         share.max(MIN_CONNECTIONS)
@@ -315,7 +315,7 @@
 
     /// Whether this entry's share of the call rate that the endpoint takes allows another call. A
     /// cold endpoint takes the rate that its service declares, any other the limit that it names.
-    fn has_rate_capacity(
+    pub(super) fn has_rate_capacity(
         &self,
         now: TimePoint,
         endpoint: &EndpointState,
--- a/crates/entry/src/forward/codec.rs
+++ b/crates/entry/src/forward/codec.rs
@@ -3,12 +3,15 @@
 use std::fmt;
 use std::time::Duration;
 
+use bytes::Bytes;
+use http_body_util::Full;
 use hyper::header::HeaderMap;
 use hyper::http::request;
 use hyper::http::response;
-use hyper::{Response, StatusCode};
+use hyper::{Request, Response, StatusCode};
 
 use chestnutloft_core::execution::NotRunProof;
+use chestnutloft_core::routing::CopyAnswer;
 use chestnutloft_wire::http::AnyBody;
 
 /// The model that a call requests.
@@ -72,6 +75,32 @@
     pub resume_after: Option<u64>,
     /// Urgency that the endpoint is told, 0 (first) to [`MAX_URGENCY`]; `None` to say nothing.
     pub urgency: Option<u8>,
+    /// `IP:port` of the endpoint that the run's KV cache is backed up at.
+    pub backup: Option<&'a str>,
+    /// Copy of the KV cache from which the attempt goes on.
+    pub copy: Option<CopySource<'a>>,
+}
+
+/// A copy of a run's KV cache.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CopySource<'a> {
+    /// `IP:port` of the endpoint that has named the copy.
+    pub address: &'a str,
+    /// Name of the copy.
+    pub handle: &'a str,
+}
+
+/// Request to an endpoint to copy a run of its own.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CopyOrder<'a> {
+    /// `IP:port` of the endpoint that runs it.
+    pub source: &'a str,
+    /// Id of the call.
+    pub call_id: &'a str,
+    /// `IP:port` of the endpoint that receives the copy.
+    pub target: &'a str,
+    /// Whether the run stops first.
+    pub is_last: bool,
 }
 
 /// Largest value of an attempt's urgency, for the least urgent calls.
@@ -232,6 +261,12 @@
     pub strip_hop_by_hop: fn(&mut HeaderMap),
     /// Builds the response for a refusal; the id is absent if the call had none.
     pub write_refusal: fn(&CallRefusal, Option<&str>) -> Response<AnyBody>,
+    /// Builds the request to copy a run.
+    pub write_copy_order: fn(&CopyOrder<'_>) -> Request<Full<Bytes>>,
+    /// Reads the answer to that request, by its status and body.
+    pub read_copy_answer: fn(StatusCode, &[u8]) -> CopyAnswer,
+    /// Builds the request to free a copy.
+    pub write_copy_release: fn(&CopySource<'_>) -> Request<Full<Bytes>>,
 }
 
 /// Builds a response with `status` and an empty body.
--- a/crates/entry/src/forward/inbound.rs
+++ b/crates/entry/src/forward/inbound.rs
@@ -19,6 +19,7 @@
 use super::body_memory::{BodyReadError, discard_rest};
 use super::codec::{CallHead, CallRefusal, MAX_URGENCY, PromptSegment};
 use super::context::ForwardContext;
+use super::copy_calls::CopyLinks;
 
 /// Share of a call's timeout for which it waits at an entry that has no routes yet.
 const STARTUP_WAIT_SHARE: f64 = 0.6;
@@ -34,6 +35,8 @@
 const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(600);
 /// Retry-after time of calls refused because the entry's routing state is missing or out of date.
 const STALE_RETRY_AFTER: Duration = Duration::from_millis(400);
+/// Target gap between events for routes that declare none.
+const DEFAULT_TARGET_GAP: Duration = Duration::from_secs(2);
 
 /// Number of priorities of routes that an endpoint can tell apart within a workspace's priority.
 const ROUTE_PRIORITIES: u32 = 4;
@@ -60,6 +63,8 @@
     pub deadline: TimePoint,
     /// What is known of whether the call has run.
     pub executions: ExecutionRecord,
+    /// Copies of the run's KV cache that the next attempt names.
+    pub copies: CopyLinks,
 }
 
 impl InboundCall {
@@ -73,6 +78,12 @@
         Duration::from_millis(self.route.target_latency_ms)
     }
 
+    /// The route's target for the time between events of a stream.
+    pub fn target_gap(&self) -> Duration {
+        let target_gap = self.route.target_gap_ms;
+        target_gap.map_or(DEFAULT_TARGET_GAP, Duration::from_millis)
+    }
+
     /// Priority of the workspace, where it has one, then that of the route; 0 is the most urgent.
     pub fn priority(&self) -> (u32, u32) {
         let workspace = self.workspace.as_ref().and_then(|rule| rule.priority);
@@ -158,6 +169,7 @@
         received_at,
         deadline: received_at + timeout,
         executions,
+        copies: CopyLinks::default(),
     })
 }
 
--- a/crates/entry/src/forward/metrics.rs
+++ b/crates/entry/src/forward/metrics.rs
@@ -13,6 +13,7 @@
 
 use super::attempt::AttemptFailure;
 use super::codec::CallRefusal;
+use super::copy_calls::RunCopyEvent;
 use super::inbound::InboundCall;
 use super::state::EntryState;
 
@@ -26,6 +27,7 @@
     escalations: Counter<u64>,
     kept_answers: Counter<u64>,
     resumes: Counter<u64>,
+    run_copies: Counter<u64>,
     first_event: Histogram<f64>,
     full_response: Histogram<f64>,
     declaration: Gauge<u64>,
@@ -103,6 +105,10 @@
                 "Answers relayed since no larger model took the call",
             ),
             resumes: counter("chestnutloft.resumes", "Streams that went on elsewhere"),
+            run_copies: counter(
+                "chestnutloft.run_copies",
+                "Copies of runs by what came of them",
+            ),
             first_event: latency("chestnutloft.first_piece", "Time to the first event"),
             full_response: latency("chestnutloft.whole_answer", "Time to the end of the answer"),
             declaration: gauge("chestnutloft.declaration", "Declaration in force here"),
@@ -209,6 +215,15 @@
         self.resumes.add(1, &labels);
     }
 
+    /// Counts what came of a copy of a run.
+    pub fn record_run_copy(&self, call: &InboundCall, event: RunCopyEvent) {
+        let labels = [
+            KeyValue::new("service", call.service.name.to_string()),
+            KeyValue::new("outcome", event.label()),
+        ];
+        self.run_copies.add(1, &labels);
+    }
+
     /// Renders the metrics page with the given gauge values.
     pub fn render(&self, gauges: &GaugeValues) -> String {
         self.declaration.record(gauges.declaration, &[]);
--- a/crates/entry/src/forward/outcomes.rs
+++ b/crates/entry/src/forward/outcomes.rs
@@ -201,6 +201,7 @@
     /// as cold.
     pub fn record_unreachable(&mut self, now: TimePoint, id: &Arc<str>) {
         self.health.record_unreachable(now, id);
+        self.record_termination(now, id);
         let Some(endpoint) = self.endpoints.get_mut(id) else {
             return;
         };
--- a/crates/entry/src/forward/pipeline.rs
+++ b/crates/entry/src/forward/pipeline.rs
@@ -267,7 +267,7 @@
     }
 
     /// Size of the prompt. All segments but the last form the prefix that other calls share.
-    fn prompt(&self) -> PromptSize {
+    pub(super) fn prompt(&self) -> PromptSize {
         let model = self.model();
         let model = model.as_deref().unwrap_or(&self.call.route.name);
         let model_hash = key_hash(model.as_bytes());
@@ -307,6 +307,7 @@
             prefill.uncached_tokens,
             prefill.work_ms
         );
+        self.plan_backup(now, &endpoint);
         self.tried.insert(Arc::clone(&endpoint.id));
         self.attempts += 1;
         self.is_last_unsent = false;
--- a/crates/entry/src/forward/relay.rs
+++ b/crates/entry/src/forward/relay.rs
@@ -8,7 +8,6 @@
 use hyper::Response;
 use hyper::body::Frame;
 
-use chestnutloft_core::execution::AttemptEnd;
 use chestnutloft_core::routing::{CallKind, ModelLane};
 use chestnutloft_core::time::TimePoint;
 use chestnutloft_wire::clock;
@@ -19,6 +18,7 @@
 use super::attempt::{AttemptFailure, EndpointResponse};
 use super::choice::ChosenEndpoint;
 use super::pipeline::CallExecution;
+use super::run_copies::{CopyContinuation, RunCopies};
 use super::segments::PROGRESS_EVENTS;
 
 /// Multiple of the route's target gap between events after which a stream is resumed elsewhere. A
@@ -27,23 +27,22 @@
 const GAP_TIMEOUT_FACTOR: f64 = 2.0;
 /// Number of events over which the mean time between the events of a stream is measured.
 const GAP_SAMPLE_EVENTS: u64 = 6;
-/// Target gap between events for routes that declare none.
-const DEFAULT_TARGET_GAP: Duration = Duration::from_secs(2);
 
 /// A stream in progress.
 pub struct StreamRelay {
-    execution: CallExecution,
+    pub(super) execution: CallExecution,
     /// Response of the current endpoint; `None` once it has ended or failed.
-    response: Option<EndpointResponse>,
+    pub(super) response: Option<EndpointResponse>,
     splitter: EventSplitter,
     /// Id of the last event that was relayed.
-    last_id: Option<u64>,
+    pub(super) last_id: Option<u64>,
     /// First events, received before the caller got the response head.
     first_events: Option<Bytes>,
     /// Number of events relayed.
-    event_count: u64,
+    pub(super) event_count: u64,
     gap_sample_start: GapSampleStart,
-    progress: AnswerProgress,
+    pub(super) progress: AnswerProgress,
+    pub(super) copies: RunCopies,
     /// Whether the current endpoint may take until the deadline, since no other one can resume the
     /// stream.
     waits_until_deadline: bool,
@@ -59,16 +58,16 @@
 
 /// How far the current endpoint's answer has got.
 #[derive(Clone, Copy, Debug, Default)]
-struct AnswerProgress {
+pub(super) struct AnswerProgress {
     /// When its first event arrived.
-    began_at: Option<TimePoint>,
+    pub(super) began_at: Option<TimePoint>,
     /// Events of the stream that earlier endpoints sent.
-    earlier_events: u64,
-    is_recorded: bool,
+    pub(super) earlier_events: u64,
+    pub(super) is_recorded: bool,
 }
 
 /// Result of reading from a stream.
-enum StreamRead {
+pub(super) enum StreamRead {
     /// Complete events.
     Events(Bytes),
     /// The stream has ended normally.
@@ -97,6 +96,7 @@
             event_count: 0,
             gap_sample_start: GapSampleStart::default(),
             progress: AnswerProgress::default(),
+            copies: RunCopies::default(),
             waits_until_deadline: false,
             is_finished: false,
         };
@@ -115,6 +115,7 @@
     fn into_forwarded_response(mut self) -> Response<AnyBody> {
         let now = clock::now();
         let mut head = Response::new(());
+        self.adopt_backup();
         if let Some(response) = &mut self.response {
             response.guard.finish_prefill();
             self.execution.record_success(now, response);
@@ -146,19 +147,26 @@
             if self.is_finished {
                 return None;
             }
-            match self.read_within(self.read_timeout()).await {
+            match self.read_or_move().await {
                 StreamRead::Events(events) => return Some(Ok(Frame::data(events))),
                 StreamRead::End => {
                     self.release();
                     self.is_finished = true;
                 }
                 StreamRead::Interrupted(failure) => {
-                    let next = self.choose_next_endpoint().await;
-                    if self.may_continue(&failure) && next.is_err() {
-                        self.waits_until_deadline = true;
-                        continue;
-                    }
-                    self.drop_response(&failure);
+                    let next = match self.continue_from_copy(&failure).await {
+                        CopyContinuation::Continued => continue,
+                        CopyContinuation::Failed => self.choose_next_endpoint().await,
+                        CopyContinuation::NoCopy => {
+                            let next = self.choose_next_endpoint().await;
+                            if self.may_continue(&failure) && next.is_err() {
+                                self.waits_until_deadline = true;
+                                continue;
+                            }
+                            self.drop_response(&failure);
+                            next
+                        }
+                    };
                     if let Err(problem) = self.resume(next).await {
                         self.is_finished = true;
                         spdlog::warn!(
@@ -175,11 +183,9 @@
 
     /// Timeout for the next event: until the deadline, unless another endpoint could resume the
     /// stream.
-    fn read_timeout(&self) -> Duration {
+    pub(super) fn read_timeout(&self) -> Duration {
         let time_left = self.execution.call.time_left(clock::now());
-        let target_gap = self.execution.call.route.target_gap_ms;
-        let target_gap = target_gap.map_or(DEFAULT_TARGET_GAP, Duration::from_millis);
-        let gap_timeout = target_gap.mul_f64(GAP_TIMEOUT_FACTOR);
+        let gap_timeout = self.execution.call.target_gap().mul_f64(GAP_TIMEOUT_FACTOR);
         if self.can_resume() && !self.waits_until_deadline {
             time_left.min(gap_timeout)
         } else {
@@ -187,12 +193,12 @@
         }
     }
 
-    fn can_resume(&self) -> bool {
+    pub(super) fn can_resume(&self) -> bool {
         self.execution.call.route.kind == (CallKind::Stream { is_resumable: true })
             && self.execution.has_attempts_left()
     }
 
-    async fn read_within(&mut self, timeout: Duration) -> StreamRead {
+    pub(super) async fn read_within(&mut self, timeout: Duration) -> StreamRead {
         match tokio::time::timeout(timeout, self.read()).await {
             Ok(result) => result,
             Err(_) => StreamRead::Interrupted(AttemptFailure::TimedOut(timeout)),
@@ -241,6 +247,7 @@
     fn release(&mut self) {
         if let Some(response) = self.response.take() {
             let now = clock::now();
+            self.copies.end_with_run();
             let execution = &self.execution;
             execution.record_progress(self.progress.began_at.unwrap_or(now));
             execution
@@ -320,7 +327,7 @@
     }
 
     /// Closes the connection of an interrupted stream, records the failure and applies it to the call.
-    fn drop_response(&mut self, failure: &AttemptFailure) {
+    pub(super) fn drop_response(&mut self, failure: &AttemptFailure) {
         if let Some(mut response) = self.response.take() {
             response.guard.mark_logged();
             spdlog::warn!(
@@ -335,9 +342,18 @@
             if is_broken && !self.has_progress() {
                 self.execution.record_lost(&endpoint);
             }
-            self.execution.record_failure(clock::now(), &endpoint);
+            let now = clock::now();
+            if is_broken {
+                self.execution.record_termination(now, &endpoint);
+            }
+            self.execution.record_failure(now, &endpoint);
         }
         self.execution.apply_failure(failure);
+        self.reset_splitter();
+    }
+
+    /// Discards what was received of an incomplete event.
+    pub(super) fn reset_splitter(&mut self) {
         self.splitter = EventSplitter::default();
     }
 
@@ -372,21 +388,10 @@
                         response.guard.endpoint.id,
                         self.last_id
                     );
-                    let execution = &self.execution;
-                    execution.context.metrics.record_resume(&execution.call);
-                    self.response = Some(response);
-                    self.progress = AnswerProgress {
-                        earlier_events: self.event_count,
-                        ..AnswerProgress::default()
-                    };
+                    self.adopt_response(response);
                     return Ok(());
                 }
-                Ok(response) => {
-                    let endpoint = response.guard.endpoint.clone();
-                    self.execution.record_failure(clock::now(), &endpoint);
-                    let executions = &mut self.execution.call.executions;
-                    executions.end_attempt(AttemptEnd::Lost);
-                }
+                Ok(response) => self.record_lost_attempt(&response),
                 Err(_) => {}
             }
             next = self.choose_next_endpoint().await;
--- a/crates/entry/src/forward/state.rs
+++ b/crates/entry/src/forward/state.rs
@@ -11,6 +11,7 @@
     PlacementSettings, PoolHealth, PrefillTimeEstimator, QueueDelayEstimator, RolloutStage,
     RolloutState, RouteDeclaration, RouteTable, RoutingRevision, RoutingUpdate, SegmentAdmission,
     SegmentKnowledge, ServiceRetryBudget, ServiceRetrySettings, SessionVersions, StatedLimits,
+    TerminationHistory,
 };
 use chestnutloft_core::time::TimePoint;
 
@@ -110,6 +111,8 @@
     pub(super) leaving: LeavingEndpoints,
     /// Prompt segments that make endpoints fail.
     pub segments: SegmentKnowledge,
+    /// Endpoints that recently ended without having said that they leave.
+    pub(super) terminations: TerminationHistory,
 }
 
 impl EntryState {
@@ -153,6 +156,7 @@
             stated_limits: StatedLimits::default(),
             leaving: LeavingEndpoints::default(),
             segments: SegmentKnowledge::default(),
+            terminations: TerminationHistory::default(),
         }
     }
 
@@ -209,6 +213,7 @@
         }
         for change in update.endpoints {
             let cold_until = now + Duration::from_millis(change.cold_left_ms);
+            self.record_unannounced_end(now, &change.endpoint.notice);
             self.apply_endpoint(change.endpoint.notice, cold_until);
         }
         if let Some(evacuated) = update.evacuated {
