--- a/crates/core/tests/routing/main.rs
+++ b/crates/core/tests/routing/main.rs
@@ -19,6 +19,7 @@
 mod prefix_directory;
 mod rate_limits;
 mod rollout;
+mod run_copies;
 mod segment_faults;
 mod segment_knowledge;
 mod sessions;
--- a/crates/entry/src/forward/choice.rs
+++ b/crates/entry/src/forward/choice.rs
@@ -119,6 +119,19 @@
     pub pace: f64,
 }
 
+impl Default for PrefillEstimate {
+    fn default() -> Self {
+        Self {
+            model_hash: 0,
+            prefix_hash: None,
+            uncached_tokens: 0.0,
+            work_ms: 0.0,
+            wait_ms: 0.0,
+            pace: 1.0,
+        }
+    }
+}
+
 impl PrefillEstimate {
     /// Expected time until the response begins.
     pub fn expected_delay(&self) -> Duration {
@@ -347,7 +360,7 @@
     }
 
     /// Connections that this entry may open to an endpoint of `service`.
-    fn connection_share(&self, service: &ServiceRule) -> usize {
+    pub(super) fn connection_share(&self, service: &ServiceRule) -> usize {
         let total = f64::from(service.max_connections) * CONNECTION_SHARE;
         let share = (total / self.entries.len().max(1) as f64).floor() as usize;
         share.max(MIN_CONNECTIONS)
@@ -355,7 +368,7 @@
 
     /// Whether this entry's share of the call rate that the endpoint takes allows another call. A
     /// cold endpoint takes the rate that its service declares, any other the limit that it names.
-    fn has_rate_capacity(
+    pub(super) fn has_rate_capacity(
         &self,
         now: TimePoint,
         endpoint: &EndpointState,
--- a/crates/entry/src/forward/state.rs
+++ b/crates/entry/src/forward/state.rs
@@ -11,8 +11,8 @@
     LeavingEndpoints, PaceReadings, PlacementSettings, PoolHealth, PrefillTimeEstimator,
     PrefixDirectory, QueueDelayEstimator, RolloutStage, RolloutState, RouteDeclaration, RouteTable,
     RoutingRevision, RoutingUpdate, SegmentAdmission, SegmentKnowledge, ServiceRetryBudget,
-    ServiceRetrySettings, SessionVersions, SlowStartControl, SpeedMeans, StatedLimits, WarmupCause,
-    endpoint_hash,
+    ServiceRetrySettings, SessionVersions, SlowStartControl, SpeedMeans, StatedLimits,
+    TerminationHistory, WarmupCause, endpoint_hash,
 };
 use chestnutloft_core::time::TimePoint;
 
@@ -125,6 +125,8 @@
     pub(super) leaving: LeavingEndpoints,
     /// Prompt segments that make endpoints fail.
     pub segments: SegmentKnowledge,
+    /// Endpoints that recently ended without having said that they leave.
+    pub(super) terminations: TerminationHistory,
 }
 
 impl EntryState {
@@ -174,6 +176,7 @@
             stated_limits: StatedLimits::default(),
             leaving: LeavingEndpoints::default(),
             segments: SegmentKnowledge::default(),
+            terminations: TerminationHistory::default(),
         }
     }
 
@@ -232,6 +235,7 @@
             let cold_until = now + Duration::from_millis(change.cold_left_ms);
             let cause = self.warmup_cause(now, &change);
             let id = Arc::clone(&change.endpoint.notice.id);
+            self.record_unannounced_end(now, &change.endpoint.notice);
             self.apply_endpoint(change.endpoint.notice, cold_until);
             if let Some(cause) = cause {
                 self.begin_warmup(now, &id, cause, now);
