Order waiting calls by class, fair share of work and deadline

Cause: where demand exceeds capacity, the most urgent and valuable calls were served least, and hardly any call was refused (docs/design/uneven-load.md). The queue of the pipe path shared by number of calls, starved lower classes and stated the same time to return to all refused callers.

Change: crates/core/src/admission/ with WaitQueue (classes, weighted fair queueing by work, late calls behind all others, 5% of the freed places for each lower class, expected wait from the measured drain rate), RefusalSchedule and SilenceLimits. It replaces pipe/queue.rs; the pipe path, the entry's attempts and the bench use it with one unit of work per request. A request of that path is still refused if its expected wait exceeds half of its time. The expected wait there now follows the drain rate of the last seconds instead of the mean interval of the last 64 starts, and lower classes have their share.

--- a/crates/bench/src/simulation.rs
+++ b/crates/bench/src/simulation.rs
@@ -507,8 +507,9 @@
         let generated = &self.workload.requests[request];
         let deadline = time_point(generated.at_s + self.settings.deadline_s);
         let entry = generated.entry;
-        let joined = self.routers[entry].queue(&pool).join(
+        let joined = self.routers[entry].join_waiting(
             time_point(self.now),
+            &pool,
             &generated.workspace,
             RequestPriority::Normal,
             deadline,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,12 +4,13 @@
 //! the current time and a seeded generator are passed as arguments. The same code therefore runs in
 //! the daemons, in the failure tests and in the benchmarks.
 //!
-//! Entries have two request paths. [`pipe`] selects a model version and an endpoint for each
+//! Entries have two request paths, which share the queue and the refusals of [`admission`]. [`pipe`] selects a model version and an endpoint for each
 //! request according to the [`plan`], using [`state`] and the [`ledger`]. [`routing`] decides for
 //! entries that forward calls according to declared routes; its services, workspaces and endpoints
 //! are separate from those of the plan. Keepers replicate the state of both, as
 //! [`state::KeeperState`], through [`consensus`].
 
+pub mod admission;
 pub mod consensus;
 pub mod execution;
 pub mod hash;
--- a/crates/core/src/pipe/mod.rs
+++ b/crates/core/src/pipe/mod.rs
@@ -6,7 +6,6 @@
 mod choose_version;
 mod dispatch;
 mod intake;
-mod queue;
 mod refusal;
 mod relay;
 mod router;
@@ -21,7 +20,6 @@
 };
 pub use dispatch::{AttemptFailure, AttemptHistory, RetryDecision};
 pub use intake::{ParsedRequest, RequestHead, RequestPriority, RequestSettings, parse_request};
-pub use queue::{QueueError, QueueSettings, WaitQueue, WaiterId};
 pub use refusal::{Refusal, RefusalCode, RunState};
 pub use relay::{StreamError, StreamPiece, StreamReassembler};
 pub use router::{AttemptObservation, RouterSettings, RouterState};
--- a/crates/core/src/pipe/router.rs
+++ b/crates/core/src/pipe/router.rs
@@ -13,11 +13,13 @@
 };
 use super::choose_version::{VersionChoice, VersionSelector, VersionSettings};
 use super::dispatch::{AttemptFailure, AttemptHistory, RetryDecision};
-use super::intake::{ParsedRequest, RequestSettings};
-use super::queue::{QueueSettings, WaitQueue, WaiterId};
+use super::intake::{ParsedRequest, RequestPriority, RequestSettings};
 use super::refusal::Refusal;
 use super::usage::UsageTable;
-use crate::ids::{DomainId, EndpointId, ServiceId, VersionId};
+use crate::admission::{
+    PriorityClass, QueueError, QueueSettings, QueuedCall, StartWindow, WaitQueue, WaiterId,
+};
+use crate::ids::{DomainId, EndpointId, ServiceId, VersionId, WorkspaceId};
 use crate::plan::{PlanState, PlanView};
 use crate::state::{
     CacheEvent, CreditSettings, EjectionSettings, EndpointAnnouncement, EndpointRecord,
@@ -35,6 +37,12 @@
 /// this entry there, between two load reports of the endpoint.
 const UNREPORTED_PEER_FRACTION: f64 = 0.3;
 
+/// Share of the time until its deadline that a request may be expected to spend in the queue. The
+/// rest is needed for the answer.
+const MAX_WAIT_SHARE: f64 = 0.5;
+/// Work of a request in the queue. All count the same on this request path.
+const REQUEST_WORK_MS: f64 = 1.0;
+
 /// Settings of all pipeline stages.
 #[derive(Clone, Debug, Default)]
 pub struct RouterSettings {
@@ -435,11 +443,45 @@
             .or_insert_with(|| WaitQueue::new(settings.clone()))
     }
 
+    /// Queues a request that waits for `pool`.
+    ///
+    /// # Errors
+    /// [`QueueError`] if the queue is full or the expected wait leaves too little of the time until
+    /// `deadline` for the answer.
+    pub fn join_waiting(
+        &mut self,
+        now: TimePoint,
+        pool: &PoolKey,
+        workspace: &WorkspaceId,
+        priority: RequestPriority,
+        deadline: TimePoint,
+    ) -> Result<WaiterId, QueueError> {
+        let rule = self.plan.declaration.workspaces.get(workspace);
+        let weight = rule.map_or(1.0, |rule| rule.weight);
+        let call = QueuedCall {
+            workspace: workspace.as_str(),
+            weight,
+            class: PriorityClass {
+                workspace: 0,
+                route: priority as u32,
+            },
+            work_ms: REQUEST_WORK_MS,
+            window: StartWindow {
+                useful_until: deadline,
+                late_until: deadline,
+            },
+        };
+        let queue = self.queue(pool);
+        let wait = queue.forecast(now, &call).wait;
+        if wait >= deadline.since(now).mul_f64(MAX_WAIT_SHARE) {
+            return Err(QueueError::DeadlineUnreachable(wait));
+        }
+        queue.join(now, &call)
+    }
+
     /// Removes and returns the next request that waits for `pool`.
     pub fn pop_waiting(&mut self, now: TimePoint, pool: &PoolKey) -> Option<WaiterId> {
-        let workspaces = &self.plan.declaration.workspaces;
-        let queue = self.queues.get_mut(pool)?;
-        queue.pop(now, |id| workspaces.get(id).map_or(1.0, |rule| rule.weight))
+        self.queues.get_mut(pool)?.pop(now)
     }
 
     /// Pools for which requests are waiting.
--- /dev/null
+++ b/crates/core/tests/admission/main.rs
@@ -0,0 +1,6 @@
+//! Tests of admission control without a network: what callers get where demand exceeds capacity.
+
+mod pool;
+mod queue;
+mod refusals;
+mod surges;
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -5,9 +5,10 @@
 
 use tokio::sync::oneshot;
 
+use chestnutloft_core::admission::{QueueError, WaiterId};
 use chestnutloft_core::pipe::{
     AttemptFailure, AttemptHistory, AttemptObservation, EndpointChoice, NoEndpoint, ParsedRequest,
-    QueueError, Refusal, RefusalCode, RetryDecision, WaiterId,
+    Refusal, RefusalCode, RetryDecision,
 };
 use chestnutloft_core::state::PoolKey;
 use chestnutloft_core::time::TimePoint;
@@ -81,7 +82,11 @@
 
 impl Drop for QueuedRequest<'_> {
     fn drop(&mut self) {
-        self.context.router().queue(self.pool).leave(self.waiter);
+        let now = clock::now();
+        self.context
+            .router()
+            .queue(self.pool)
+            .leave(now, self.waiter);
         self.context
             .queue_wakers()
             .remove(&(self.pool.clone(), self.waiter));
@@ -204,10 +209,13 @@
     let (waker, woken) = oneshot::channel();
     let queued_request = {
         let mut router = context.router();
-        let joined =
-            router
-                .queue(pool)
-                .join(now, &parsed.workspace, parsed.priority, parsed.deadline);
+        let joined = router.join_waiting(
+            now,
+            pool,
+            &parsed.workspace,
+            parsed.priority,
+            parsed.deadline,
+        );
         let waiter = joined.map_err(|error| queue_refusal(&error))?;
         context.queue_wakers().insert((pool.clone(), waiter), waker);
         QueuedRequest {
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -7,9 +7,10 @@
 
 use tokio::sync::{Notify, oneshot};
 
+use chestnutloft_core::admission::WaiterId;
 use chestnutloft_core::ids::EntryId;
 use chestnutloft_core::ledger::AttemptId;
-use chestnutloft_core::pipe::{Refusal, RefusalCode, RouterState, WaiterId};
+use chestnutloft_core::pipe::{Refusal, RefusalCode, RouterState};
 use chestnutloft_core::state::{EntryLease, LiveEntry, PoolKey};
 use chestnutloft_wire::clock;
 use chestnutloft_wire::http::HttpClient;
