Let calls of managed services wait for their turn, and end silent streams

Cause: a call that found no endpoint polled every 20 ms for 0.12 of its target and was then refused, whatever its urgency. A resumable stream whose response an endpoint had lost waited until its deadline: the last possible attempt had all the time left (is_last in response_timeout), and a stream that no other endpoint could take waited at its own (waits_until_deadline).

Change: a call of a service whose capacity is managed joins the queue of its service and is woken by events, the first of the queue first. Refusals state when there is capacity. Other services keep their bound and wait for the same events; CHOICE_INTERVAL is gone. Resumable streams of managed services run once more elsewhere after the latency target or four target gaps, and end as failed after twice the target or eight gaps. Metrics chestnutloft.admission.{waiting,admitted,refused,expired,wait}.

--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -143,6 +143,7 @@
                 .record_abandoned(now, &self.endpoint.id, call);
         }
         drop(state);
+        self.context.capacity_changed.send_replace(());
         if !self.is_logged {
             spdlog::info!(
                 "call {}: attempt at endpoint {} cancelled after {} ms.",
--- a/crates/entry/src/forward/completion.rs
+++ b/crates/entry/src/forward/completion.rs
@@ -64,6 +64,13 @@
         reason: &'static str,
         min_delay: Duration,
     ) -> CallRefusal {
+        let max_delay = (self.call.time_left(now) / 4).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
+        let jitter = rand::rng().random_range(0.4..1.0);
+        self.refusal_after(reason, min_delay + max_delay.mul_f64(jitter))
+    }
+
+    /// The refusal for `reason` that tells the caller to return after `retry_after`.
+    pub(super) fn refusal_after(&self, reason: &'static str, retry_after: Duration) -> CallRefusal {
         let Some(proof) = self.call.executions.not_run() else {
             return CallRefusal::Failed(reason);
         };
@@ -72,12 +79,10 @@
         } else {
             self.failure
         };
-        let max_delay = (self.call.time_left(now) / 4).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
-        let jitter = rand::rng().random_range(0.4..1.0);
         CallRefusal::NotRun {
             proof,
             reason,
-            retry_after: min_delay + max_delay.mul_f64(jitter),
+            retry_after,
         }
     }
 
--- a/crates/entry/src/forward/context.rs
+++ b/crates/entry/src/forward/context.rs
@@ -5,6 +5,7 @@
 use chestnutloft_core::routing::EscalationSettings;
 use tokio::sync::{Notify, watch};
 
+use super::admission_queues::AdmissionQueues;
 use super::body_memory::BodyMemoryPools;
 use super::codec::EntryCodec;
 use super::connections::ConnectionPool;
@@ -29,6 +30,8 @@
     pub connections: ConnectionPool,
     /// Exchange of pending work per endpoint with the other entries.
     pub load_exchange: LoadExchange,
+    /// Calls that wait for an endpoint.
+    pub(super) admission: AdmissionQueues,
     /// Changes when a waiting call may find capacity: an attempt has ended, an endpoint or new load
     /// information has come.
     pub capacity_changed: watch::Sender<()>,
@@ -62,6 +65,7 @@
             bodies: BodyMemoryPools::new(settings.memory_bytes()),
             connections: ConnectionPool::default(),
             load_exchange: LoadExchange::default(),
+            admission: AdmissionQueues::default(),
             capacity_changed: watch::Sender::new(()),
             shutting_down,
             refusing_calls,
--- a/crates/entry/src/forward/daemon.rs
+++ b/crates/entry/src/forward/daemon.rs
@@ -15,6 +15,7 @@
 use chestnutloft_wire::settings::SeedReader;
 use chestnutloft_wire::{clock, listen, logs};
 
+use super::admission_queues::run_admission;
 use super::codec::EntryCodec;
 use super::context::ForwardContext;
 use super::load_exchange::run_load_exchange;
@@ -127,6 +128,7 @@
             SeedList::new(settings, seeds),
         ));
         tokio::spawn(run_load_exchange(Arc::clone(&context), load_client));
+        tokio::spawn(run_admission(Arc::clone(&context)));
         tokio::spawn(sweep_connections(Arc::clone(&context)));
         spdlog::info!(
             "entry: {} listens for callers on {} in failure domain {}.",
--- a/crates/entry/src/forward/load_exchange.rs
+++ b/crates/entry/src/forward/load_exchange.rs
@@ -101,6 +101,7 @@
                     .load_exchange
                     .refreshed_at
                     .send_replace(Some(requested_at));
+                context.capacity_changed.send_replace(());
             }
             Err(error) => {
                 spdlog::debug!(
--- a/crates/entry/src/forward/metrics.rs
+++ b/crates/entry/src/forward/metrics.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Gauge, Histogram};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, UpDownCounter};
 
 use chestnutloft_core::time::TimePoint;
 use chestnutloft_wire::metrics::MetricsPage;
@@ -16,6 +16,17 @@
 use super::inbound::InboundCall;
 use super::state::EntryState;
 
+/// What became of a call that had to wait or was refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AdmissionOutcome {
+    /// It got an endpoint after waiting.
+    Admitted,
+    /// It was refused, since it could not be served.
+    Refused,
+    /// It was refused, since its time to start passed while it waited.
+    Expired,
+}
+
 /// Instruments of an entry.
 #[derive(Clone, Debug)]
 pub struct ForwardMetrics {
@@ -38,6 +49,17 @@
     limited_endpoints: Gauge<u64>,
     leaving_endpoints: Gauge<u64>,
     body_memory: Gauge<u64>,
+    admission: AdmissionInstruments,
+}
+
+/// Instruments of admission control. Labels are the service and the urgency from 0 to 9.
+#[derive(Clone, Debug)]
+struct AdmissionInstruments {
+    waiting: UpDownCounter<i64>,
+    admitted: Counter<u64>,
+    refused: Counter<u64>,
+    expired: Counter<u64>,
+    wait: Histogram<f64>,
 }
 
 /// Values of the gauges.
@@ -130,6 +152,22 @@
                 "Endpoints that have said that they leave",
             ),
             body_memory: gauge("chestnutloft.body_memory", "Bytes reserved for bodies"),
+            admission: AdmissionInstruments {
+                waiting: meter
+                    .i64_up_down_counter("chestnutloft.admission.waiting")
+                    .with_description("Calls that wait for an endpoint")
+                    .build(),
+                admitted: counter(
+                    "chestnutloft.admission.admitted",
+                    "Calls that got an endpoint after waiting",
+                ),
+                refused: counter("chestnutloft.admission.refused", "Calls without capacity"),
+                expired: counter(
+                    "chestnutloft.admission.expired",
+                    "Calls whose time to start passed while they waited",
+                ),
+                wait: latency("chestnutloft.admission.wait", "Time in the queue"),
+            },
             page,
         }
     }
@@ -209,6 +247,29 @@
         self.resumes.add(1, &labels);
     }
 
+    /// Counts a change of the number of calls of `service` that wait.
+    pub fn record_waiting(&self, service: &str, urgency: u8, change: i64) {
+        let labels = admission_labels(service, urgency);
+        self.admission.waiting.add(change, &labels);
+    }
+
+    /// Counts what became of a call after it waited for `waited`.
+    pub fn record_admission(
+        &self,
+        call: &InboundCall,
+        outcome: AdmissionOutcome,
+        waited: Duration,
+    ) {
+        let labels = admission_labels(&call.service.name, call.urgency());
+        let counter = match outcome {
+            AdmissionOutcome::Admitted => &self.admission.admitted,
+            AdmissionOutcome::Refused => &self.admission.refused,
+            AdmissionOutcome::Expired => &self.admission.expired,
+        };
+        counter.add(1, &labels);
+        self.admission.wait.record(waited.as_secs_f64(), &labels);
+    }
+
     /// Renders the metrics page with the given gauge values.
     pub fn render(&self, gauges: &GaugeValues) -> String {
         self.declaration.record(gauges.declaration, &[]);
@@ -231,6 +292,13 @@
     }
 }
 
+fn admission_labels(service: &str, urgency: u8) -> [KeyValue; 2] {
+    [
+        KeyValue::new("service", service.to_owned()),
+        KeyValue::new("class", i64::from(urgency)),
+    ]
+}
+
 fn workspace_label(call: &InboundCall) -> String {
     let workspace = call.workspace.as_ref();
     workspace.map_or(String::new(), |rule| rule.name.to_string())
--- a/crates/entry/src/forward/mod.rs
+++ b/crates/entry/src/forward/mod.rs
@@ -5,6 +5,8 @@
 //! and a workspace, [`pipeline`] makes attempts until a response is good enough, and [`relay`]
 //! forwards a streamed response. The wire format is defined by a [`codec`].
 
+mod admission;
+mod admission_queues;
 mod attempt;
 mod body_memory;
 mod caller_connection;
@@ -27,4 +29,5 @@
 mod server;
 pub mod settings;
 pub mod state;
+mod stream_silence;
 mod watch;
--- a/crates/entry/src/forward/pipeline.rs
+++ b/crates/entry/src/forward/pipeline.rs
@@ -7,6 +7,7 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 
+use chestnutloft_core::admission::StreamAlternative;
 use chestnutloft_core::execution::AttemptEnd;
 use chestnutloft_core::hash::key_hash;
 use chestnutloft_core::routing::{BodyDirection, CallKind, ModelLane, SegmentAdmission};
@@ -25,10 +26,6 @@
 
 /// Time that must be left until the deadline to start an attempt.
 pub(super) const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(15);
-/// Interval between tries to choose an endpoint.
-const CHOICE_INTERVAL: Duration = Duration::from_millis(20);
-/// Share of the latency target for which a call waits until an endpoint accepts calls.
-const CHOICE_WAIT_SHARE: f64 = 0.12;
 /// Multiple of the latency target after which an idempotent call without a response is retried.
 const IDEMPOTENT_TIMEOUT_FACTOR: f64 = 2.5;
 /// Share of the latency target after which a stream without a first event is retried.
@@ -214,36 +211,7 @@
         self.call.route.kind.is_stream() && response.parts.status.is_success()
     }
 
-    /// Chooses an endpoint. If none accepts calls, tries again for a share of the latency target,
-    /// unless an answer is held.
-    pub async fn choose_endpoint(&mut self) -> Result<ChosenEndpoint, CallRefusal> {
-        let started_at = clock::now();
-        self.context.load_exchange.refresh(started_at).await;
-        loop {
-            let now = clock::now();
-            if self.call.time_left(now) < MIN_ATTEMPT_TIME {
-                return Err(self.final_refusal());
-            }
-            let no_endpoint = match self.choose_now(now) {
-                Ok(endpoint) => return Ok(endpoint),
-                Err(no_endpoint) => no_endpoint,
-            };
-            if let NoEndpoint::AtRest { left } = no_endpoint {
-                return Err(self.refusal_for(now, no_endpoint.reason(), left));
-            }
-            let max_wait = self.call.latency_target().mul_f64(CHOICE_WAIT_SHARE);
-            let max_wait = self
-                .held_answer
-                .as_ref()
-                .map_or(max_wait, |_| Duration::ZERO);
-            if now.since(started_at) >= max_wait {
-                return Err(self.refusal(now, no_endpoint.reason()));
-            }
-            tokio::time::sleep(CHOICE_INTERVAL).await;
-        }
-    }
-
-    fn choose_now(&self, now: TimePoint) -> Result<ChosenEndpoint, NoEndpoint> {
+    pub(super) fn choose_now(&self, now: TimePoint) -> Result<ChosenEndpoint, NoEndpoint> {
         let request = SelectionRequest {
             service: &self.call.service,
             session: self.call.session_key(),
@@ -267,7 +235,7 @@
     }
 
     /// Size of the prompt. All segments but the last form the prefix that other calls share.
-    fn prompt(&self) -> PromptSize {
+    pub(super) fn prompt(&self) -> PromptSize {
         let model = self.model();
         let model = model.as_deref().unwrap_or(&self.call.route.name);
         let model_hash = key_hash(model.as_bytes());
@@ -425,7 +393,8 @@
     /// `expected_delay`.
     pub fn response_timeout(&self, now: TimePoint, expected_delay: Duration) -> Duration {
         let time_left = self.call.time_left(now);
-        // The last possible attempt may take until the deadline.
+        // The last possible attempt may take until the deadline, except that a stream of a managed
+        // service ends when its response is presumably lost: the caller can still retry by then.
         let is_last = self.attempts + 1 >= self.call.route.max_attempts
             || !self.context.state().can_retry(now, &self.call.service.name);
         let target = self.call.latency_target();
@@ -438,6 +407,9 @@
                 let by_delay = expected_delay.mul_f64(STREAM_DELAY_FACTOR) + STREAM_TIMEOUT_MARGIN;
                 time_left.min(by_target.min(by_delay).max(STREAM_TIMEOUT_MARGIN))
             }
+            CallKind::Stream { is_resumable: true } if self.ends_when_silent() => {
+                time_left.min(self.max_silence(StreamAlternative::CallerOnly, false))
+            }
             _ => time_left,
         }
     }
--- a/crates/entry/src/forward/relay.rs
+++ b/crates/entry/src/forward/relay.rs
@@ -20,15 +20,10 @@
 use super::choice::ChosenEndpoint;
 use super::pipeline::CallExecution;
 use super::segments::PROGRESS_EVENTS;
+use super::stream_silence::StreamSilence;
 
-/// Multiple of the route's target gap between events after which a stream is resumed elsewhere. A
-/// busy endpoint may exceed the target, and another endpoint has to process the whole prompt first,
-/// so resuming makes the stream late in any case: it pays only if the endpoint has stopped.
-const GAP_TIMEOUT_FACTOR: f64 = 2.0;
 /// Number of events over which the mean time between the events of a stream is measured.
 const GAP_SAMPLE_EVENTS: u64 = 6;
-/// Target gap between events for routes that declare none.
-const DEFAULT_TARGET_GAP: Duration = Duration::from_secs(2);
 
 /// A stream in progress.
 pub struct StreamRelay {
@@ -47,6 +42,7 @@
     /// Whether the current endpoint may take until the deadline, since no other one can resume the
     /// stream.
     waits_until_deadline: bool,
+    silence: StreamSilence,
     is_finished: bool,
 }
 
@@ -88,6 +84,7 @@
         response: EndpointResponse,
     ) -> Result<Response<AnyBody>, Box<CallExecution>> {
         let last_id = execution.call.head.resume_after;
+        let silence = StreamSilence::before_first_event(response.guard.started_at);
         let mut relay = Self {
             execution,
             response: Some(response),
@@ -98,6 +95,7 @@
             gap_sample_start: GapSampleStart::default(),
             progress: AnswerProgress::default(),
             waits_until_deadline: false,
+            silence,
             is_finished: false,
         };
         let timeout = relay.read_timeout();
@@ -142,6 +140,11 @@
         if let Some(events) = self.first_events.take() {
             return Some(Ok(Frame::data(events)));
         }
+        if self.execution.ends_when_silent() {
+            // Time in which the caller did not read is no silence of the endpoint.
+            self.silence = StreamSilence::after_events(clock::now());
+            self.waits_until_deadline = false;
+        }
         loop {
             if self.is_finished {
                 return None;
@@ -176,15 +179,11 @@
     /// Timeout for the next event: until the deadline, unless another endpoint could resume the
     /// stream.
     fn read_timeout(&self) -> Duration {
-        let time_left = self.execution.call.time_left(clock::now());
-        let target_gap = self.execution.call.route.target_gap_ms;
-        let target_gap = target_gap.map_or(DEFAULT_TARGET_GAP, Duration::from_millis);
-        let gap_timeout = target_gap.mul_f64(GAP_TIMEOUT_FACTOR);
-        if self.can_resume() && !self.waits_until_deadline {
-            time_left.min(gap_timeout)
-        } else {
-            time_left
-        }
+        let now = clock::now();
+        let time_left = self.execution.call.time_left(now);
+        let has_other = self.can_resume() && !self.waits_until_deadline;
+        let silence_left = self.silence.time_left(now, &self.execution, has_other);
+        silence_left.map_or(time_left, |left| time_left.min(left))
     }
 
     fn can_resume(&self) -> bool {
@@ -345,7 +344,9 @@
     /// broken connection it cannot.
     fn may_continue(&self, failure: &AttemptFailure) -> bool {
         let is_timeout = matches!(failure, AttemptFailure::TimedOut(_));
-        is_timeout && !self.execution.call.time_left(clock::now()).is_zero()
+        let now = clock::now();
+        let is_lost = self.silence.is_over(now, &self.execution);
+        is_timeout && !is_lost && !self.execution.call.time_left(now).is_zero()
     }
 
     /// Chooses another endpoint to resume the stream at.
@@ -374,6 +375,7 @@
                     );
                     let execution = &self.execution;
                     execution.context.metrics.record_resume(&execution.call);
+                    self.silence = StreamSilence::after_events(response.guard.started_at);
                     self.response = Some(response);
                     self.progress = AnswerProgress {
                         earlier_events: self.event_count,
--- a/crates/entry/src/forward/watch.rs
+++ b/crates/entry/src/forward/watch.rs
@@ -242,6 +242,7 @@
                 now.since(requested_at).as_millis()
             );
         }
+        self.context.capacity_changed.send_replace(());
         if has_new_blocks {
             self.context.segment_blocks.send_replace(());
         }
