--- a/crates/entry/src/forward/mod.rs
+++ b/crates/entry/src/forward/mod.rs
@@ -5,6 +5,8 @@
 //! and a workspace, [`pipeline`] makes attempts until a response is good enough, and [`relay`]
 //! forwards a streamed response. The wire format is defined by a [`codec`].
 
+mod admission;
+mod admission_queues;
 mod attempt;
 mod body_memory;
 mod caller_connection;
@@ -33,4 +35,5 @@
 pub mod settings;
 mod slow_start;
 pub mod state;
+mod stream_silence;
 mod watch;
--- a/crates/entry/src/forward/run_copies.rs
+++ b/crates/entry/src/forward/run_copies.rs
@@ -17,6 +17,7 @@
 use super::choice::ChosenEndpoint;
 use super::copy_calls::{CopyGuard, RunCopyEvent};
 use super::relay::{AnswerProgress, StreamRelay};
+use super::stream_silence::StreamSilence;
 
 /// Copies of the run of one stream.
 #[derive(Default)]
@@ -205,6 +206,7 @@
             let address = &response.guard.endpoint.address;
             backup.guard.release_elsewhere(address);
         }
+        self.silence = StreamSilence::after_events(response.guard.started_at);
         self.response = Some(response);
         self.progress = AnswerProgress {
             earlier_events: self.event_count,
