Read streams at the endpoint's pace into bounded memory

Cause: a stream was read only while its caller read. A caller that paused made its endpoint wait, which then cut the response off, was recorded as failed and the call ran again. Each connection to an endpoint could take 400 KB for reading, so 300 such callers exceeded the memory of an entry. An endpoint that read a large request body slowly was recorded as failed when the response timeout passed.

Change: a task reads each stream into a buffer whose memory comes from the pools for responses (RelayMemory, RelayRegistry, RelayBuffer). When it is short, the calls of the slowest callers end with their connections. A caller's pauses count neither against the endpoint nor in its event gap. The response timeout starts anew while the endpoint reads the request (WriteProgress, WriteMeter); at the deadline the attempt ends as "unread". A response that gets no memory is no failure of its endpoint.

--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -16,6 +16,7 @@
 mod placement;
 mod queue_delay;
 mod rate_limits;
+mod relay_memory;
 mod rollout;
 mod segment_evidence;
 mod segment_faults;
@@ -23,6 +24,7 @@
 mod sessions;
 mod state;
 mod table;
+mod write_progress;
 
 pub use body_memory::{BodyDirection, BodyMemory, BodyPool, MAX_SMALL_BODY_BYTES};
 pub use budgets::{EndpointRateLimiter, RateShare, ServiceRetryBudget, ServiceRetrySettings};
@@ -50,6 +52,7 @@
 };
 pub use queue_delay::{PrefillTimeEstimator, QueueDelayEstimator, QueueDelaySettings, QueueState};
 pub use rate_limits::{LimitStatement, StatedLimits};
+pub use relay_memory::{RELAY_POOLS, RelayMemory, RelayNumber};
 pub use rollout::{RolloutOrder, RolloutStage, RolloutState, RolloutTiming};
 pub use segment_faults::{
     EndedEndpoint, EndpointEnd, LostCall, SegmentBlock, SegmentChange, SegmentFaultDetector,
@@ -61,3 +64,4 @@
     RoutingCommand, RoutingOutcome, RoutingRevision, RoutingState, RoutingUpdate, StoredDeclaration,
 };
 pub use table::{KeyLookup, RouteTable};
+pub use write_progress::WriteProgress;
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -20,6 +20,7 @@
 use super::context::ForwardContext;
 use super::inbound::InboundCall;
 use super::segments::lost_call;
+use super::write_meter::{CurrentMeter, send_within};
 
 /// Idle time after which a connection is not reused for a call that may run only once: if the
 /// endpoint resets an idle connection, that cannot be distinguished from a lost response.
@@ -41,6 +42,9 @@
     Broken(String),
     /// Nothing was received within this time; the call may have run.
     TimedOut(Duration),
+    /// The endpoint was still reading the request when the call's time was over, which is no failure
+    /// of the endpoint; the call may have run.
+    Unread,
 }
 
 impl AttemptFailure {
@@ -48,7 +52,7 @@
     pub fn attempt_end(&self) -> AttemptEnd {
         match self {
             Self::Unreachable(_) | Self::NotRun { .. } => AttemptEnd::NotRun,
-            Self::Broken(_) | Self::TimedOut(_) => AttemptEnd::Lost,
+            Self::Broken(_) | Self::TimedOut(_) | Self::Unread => AttemptEnd::Lost,
         }
     }
 
@@ -62,6 +66,7 @@
             Self::NotRun { .. } => "full",
             Self::Broken(_) => "broken",
             Self::TimedOut(_) => "silent",
+            Self::Unread => "unread",
         }
     }
 }
@@ -199,10 +204,16 @@
     timeout: Duration,
 ) -> Result<EndpointResponse, AttemptFailure> {
     let mut guard = AttemptGuard::start(context, clock::now(), call, endpoint);
-    let sending = send_call(context, call, &guard.endpoint, model, resume_after);
-    let outcome = tokio::time::timeout(timeout, sending).await;
-    let (response, mut connection) = match outcome.unwrap_or(Err(AttemptFailure::TimedOut(timeout)))
-    {
+    let meter = CurrentMeter::default();
+    let sending = send_call(
+        context,
+        call,
+        &guard.endpoint,
+        (model, resume_after),
+        &meter,
+    );
+    let outcome = send_within(sending, timeout, call.deadline, &meter).await;
+    let (response, mut connection) = match outcome {
         Ok(received) => received,
         Err(failure) => {
             guard.mark_logged();
@@ -295,8 +306,8 @@
     context: &ForwardContext,
     call: &InboundCall,
     endpoint: &ChosenEndpoint,
-    model: Option<&str>,
-    resume_after: Option<u64>,
+    (model, resume_after): (Option<&str>, Option<u64>),
+    meter: &CurrentMeter,
 ) -> Result<(hyper::Response<Incoming>, EndpointConnection), AttemptFailure> {
     let max_idle = match call.route.kind {
         CallKind::NonIdempotent
@@ -316,6 +327,7 @@
                 .map_err(attempt_failure)?,
         };
         let request = build_request(context, call, endpoint, model, resume_after);
+        meter.set(&connection.meter);
         match connection.send(request).await {
             Ok(response) => return Ok((response, connection)),
             // The endpoint has closed this pooled connection: try the next one.
--- a/crates/entry/src/forward/body_memory.rs
+++ b/crates/entry/src/forward/body_memory.rs
@@ -6,12 +6,16 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
+use opentelemetry::metrics::Counter;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
 use chestnutloft_core::routing::{BodyDirection, BodyMemory, BodyPool, MAX_SMALL_BODY_BYTES};
+use chestnutloft_wire::clock;
+
+use super::relay_registry::RelayRegistry;
 
 /// Bytes per permit of a pool.
-const PERMIT_BYTES: usize = 1024;
+pub const PERMIT_BYTES: usize = 1024;
 /// Time for which the rest of a refused request's body is read and discarded. A connection that is
 /// closed with unread bytes is reset, which may overtake the refusal.
 const MAX_DISCARD_TIME: Duration = Duration::from_secs(2);
@@ -33,6 +37,8 @@
     memory: BodyMemory,
     /// Free memory of each of [`BodyPool::ALL`], in units of [`PERMIT_BYTES`].
     free: [Arc<Semaphore>; BodyPool::ALL.len()],
+    /// Streams, which share the memory for responses.
+    pub relays: Arc<RelayRegistry>,
 }
 
 /// A body together with the memory that is reserved for it.
@@ -48,13 +54,18 @@
 }
 
 impl BodyMemoryPools {
-    /// Creates the pools of a process that may use `process_bytes`.
-    pub fn new(process_bytes: usize) -> Self {
+    /// Creates the pools of a process that may use `process_bytes`. Counts the streams that are ended
+    /// for memory in `ended_relays`.
+    pub fn new(process_bytes: usize, ended_relays: Counter<u64>) -> Self {
         let memory = BodyMemory::of_process(process_bytes);
         let free = |pool| Arc::new(Semaphore::new(memory.size(pool) / PERMIT_BYTES));
+        let free = BodyPool::ALL.map(free);
+        let of_pool = |pool| Arc::clone(&free[pool as usize]);
+        let relays = RelayRegistry::new(memory, of_pool, ended_relays);
         Self {
             memory,
-            free: BodyPool::ALL.map(free),
+            free,
+            relays: Arc::new(relays),
         }
     }
 
@@ -81,6 +92,9 @@
     ) -> Result<Option<OwnedSemaphorePermit>, BodyReadError> {
         let pool = BodyPool::of(direction, bytes);
         let permits = self.memory.reservation(pool, bytes) / PERMIT_BYTES;
+        if self.free(pool).available_permits() < permits {
+            self.relays.make_room_for_body(clock::now(), pool, permits);
+        }
         let permits = u32::try_from(permits).unwrap_or(u32::MAX);
         let reserving = Arc::clone(self.free(pool)).acquire_many_owned(permits);
         match tokio::time::timeout(max_wait, reserving).await {
--- a/crates/entry/src/forward/caller_connection.rs
+++ b/crates/entry/src/forward/caller_connection.rs
@@ -8,14 +8,14 @@
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::Response;
-use hyper::body::{Body, Frame, SizeHint};
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
+use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::TcpStream;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use chestnutloft_core::time::TimePoint;
 use chestnutloft_wire::clock;
@@ -23,6 +23,7 @@
 
 use super::context::ForwardContext;
 use super::pipeline::handle_call;
+use super::sockets::prepare_caller_stream;
 
 /// Time for which a connection stays open after a response that did not announce its end: a caller
 /// may have sent its next call already.
@@ -88,6 +89,17 @@
     }
 }
 
+/// Closes a caller's connection at once, also while the caller reads nothing.
+#[derive(Clone, Debug, Default)]
+pub struct ConnectionAbort(Arc<Notify>);
+
+impl ConnectionAbort {
+    /// Closes the connection.
+    pub fn abort(&self) {
+        self.0.notify_one();
+    }
+}
+
 /// Body of a response that counts its call as running.
 struct GuardedBody {
     body: AnyBody,
@@ -121,11 +133,14 @@
     stream: TcpStream,
     mut draining: watch::Receiver<bool>,
 ) {
-    let _ = stream.set_nodelay(true);
+    prepare_caller_stream(&stream);
     let limits = context.state().declaration().limits.clone();
     let activity = ConnectionActivity::new(clock::now());
     let calls = activity.clone();
-    let service = service_fn(move |request| {
+    let abort = ConnectionAbort::default();
+    let call_abort = abort.clone();
+    let service = service_fn(move |mut request: Request<Incoming>| {
+        request.extensions_mut().insert(call_abort.clone());
         let context = Arc::clone(&context);
         let guard = calls.start_call();
         async move {
@@ -154,9 +169,13 @@
     tokio::select! {
         // Connection errors need no log line here: each call logs its own outcome.
         _ = &mut connection => return,
+        () = abort.0.notified() => return,
         () = closing => connection.as_mut().graceful_shutdown(),
     }
-    let _ = connection.await;
+    tokio::select! {
+        _ = connection => {}
+        () = abort.0.notified() => {}
+    }
 }
 
 fn guard_response(response: Response<AnyBody>, guard: CallGuard) -> Response<AnyBody> {
--- a/crates/entry/src/forward/connections.rs
+++ b/crates/entry/src/forward/connections.rs
@@ -17,6 +17,9 @@
 use chestnutloft_core::time::TimePoint;
 use chestnutloft_wire::clock;
 
+use super::sockets::prepare_endpoint_stream;
+use super::write_meter::{MeteredStream, WriteMeter};
+
 /// Timeout for opening a connection: many round trips within a region.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
 /// Idle time after which a connection is not reused, where the endpoint sends no keep-alive
@@ -25,6 +28,11 @@
 /// Share of the endpoint's keep-alive timeout within which a connection is reused.
 const KEEP_ALIVE_SHARE: f64 = 0.7;
 
+/// Bytes of a response that are read at once, and the limit of a response head. By default, each
+/// connection may take 400 KB, which is more than an entry has for the connections of some hundred
+/// calls.
+const MAX_READ_BYTES: usize = 64 * 1024;
+
 /// Why a call got no response on a connection.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ConnectionError {
@@ -44,6 +52,8 @@
     driver: AbortHandle,
     idle_limit: Duration,
     last_used_at: TimePoint,
+    /// How far the current request has been written.
+    pub meter: WriteMeter,
 }
 
 impl Drop for EndpointConnection {
@@ -68,8 +78,12 @@
                 ErrorKind::ConnectionRefused => ConnectionError::Refused(error.to_string()),
                 _ => unreachable(error.to_string()),
             })?;
-        let _ = stream.set_nodelay(true);
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        prepare_endpoint_stream(&stream);
+        let meter = WriteMeter::default();
+        let stream = MeteredStream::new(stream, meter.clone());
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_READ_BYTES)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|error| unreachable(error.to_string()))?;
         let driver = tokio::spawn(async move {
@@ -81,6 +95,7 @@
             driver: driver.abort_handle(),
             idle_limit: DEFAULT_IDLE_LIMIT,
             last_used_at: clock::now(),
+            meter,
         })
     }
 
@@ -93,6 +108,7 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<hyper::Response<Incoming>, ConnectionError> {
+        self.meter.restart();
         match self.sender.try_send_request(request).await {
             Ok(response) => Ok(response),
             Err(mut error) => match error.take_message() {
--- a/crates/entry/src/forward/context.rs
+++ b/crates/entry/src/forward/context.rs
@@ -54,12 +54,13 @@
         refusing_calls: watch::Receiver<bool>,
     ) -> Self {
         let state = EntryState::new(settings);
+        let metrics = ForwardMetrics::default();
         Self {
             name: Arc::from(settings.name.as_str()),
             codec,
             escalation: settings.ladder.clone(),
-            metrics: ForwardMetrics::default(),
-            bodies: BodyMemoryPools::new(settings.memory_bytes()),
+            bodies: BodyMemoryPools::new(settings.memory_bytes(), metrics.ended_relays.clone()),
+            metrics,
             connections: ConnectionPool::default(),
             load_exchange: LoadExchange::default(),
             capacity_changed: watch::Sender::new(()),
--- a/crates/entry/src/forward/metrics.rs
+++ b/crates/entry/src/forward/metrics.rs
@@ -38,6 +38,9 @@
     limited_endpoints: Gauge<u64>,
     leaving_endpoints: Gauge<u64>,
     body_memory: Gauge<u64>,
+    relay_memory: Gauge<u64>,
+    /// Calls ended since their callers did not read.
+    pub ended_relays: Counter<u64>,
 }
 
 /// Values of the gauges.
@@ -63,6 +66,8 @@
     pub leaving_endpoints: usize,
     /// Memory reserved for bodies, in bytes.
     pub body_bytes: usize,
+    /// Bytes of streams that callers have not read.
+    pub relay_bytes: usize,
 }
 
 impl Default for ForwardMetrics {
@@ -130,6 +135,14 @@
                 "Endpoints that have said that they leave",
             ),
             body_memory: gauge("chestnutloft.body_memory", "Bytes reserved for bodies"),
+            relay_memory: gauge(
+                "chestnutloft.relay_memory",
+                "Bytes of streams that callers have not read",
+            ),
+            ended_relays: counter(
+                "chestnutloft.relays.ended",
+                "Calls ended since their callers did not read",
+            ),
             page,
         }
     }
@@ -227,6 +240,7 @@
         self.leaving_endpoints
             .record(gauges.leaving_endpoints as u64, &[]);
         self.body_memory.record(gauges.body_bytes as u64, &[]);
+        self.relay_memory.record(gauges.relay_bytes as u64, &[]);
         self.page.text()
     }
 }
@@ -259,6 +273,7 @@
             limited_endpoints: self.stated_limits.count(),
             leaving_endpoints: self.leaving_count(),
             body_bytes: 0,
+            relay_bytes: 0,
         }
     }
 }
--- a/crates/entry/src/forward/pipeline.rs
+++ b/crates/entry/src/forward/pipeline.rs
@@ -15,6 +15,7 @@
 use chestnutloft_wire::http::{AnyBody, full};
 
 use super::attempt::{AttemptFailure, EndpointResponse, send_attempt};
+use super::body_memory::BodyReadError;
 use super::choice::{ChosenEndpoint, NoEndpoint, PromptSize, SelectionRequest, prefix_hash};
 use super::codec::{CallRefusal, RequestedModel};
 use super::context::ForwardContext;
@@ -41,6 +42,10 @@
 /// Largest response body that is not relayed as a stream. A failing endpoint may send bytes without
 /// end, which would take up the entry's memory.
 const MAX_BUFFERED_BYTES: usize = 8 * 1024 * 1024;
+/// Share of the response timeout for which a response waits for memory. Below 1, so that a lack of
+/// memory is told from an endpoint that sends nothing.
+const MEMORY_WAIT_SHARE: f64 = 0.9;
+
 /// Handles one call, from its request to the response for the caller.
 pub async fn handle_call(
     context: Arc<ForwardContext>,
@@ -352,7 +357,7 @@
                 self.context.connections.close_all(&endpoint.address);
                 self.context.state().record_unreachable(now, &endpoint.id);
             }
-            AttemptFailure::NotRun { .. } => {}
+            AttemptFailure::NotRun { .. } | AttemptFailure::Unread => {}
             AttemptFailure::Broken(_) => {
                 self.record_lost(endpoint);
                 self.record_failure(now, endpoint);
@@ -455,10 +460,16 @@
             BodyDirection::Response,
             &mut response.body,
             MAX_BUFFERED_BYTES,
-            timeout,
+            timeout.mul_f64(MEMORY_WAIT_SHARE),
         );
         let body = match tokio::time::timeout(timeout, reading).await {
             Ok(Ok(body)) => body,
+            Ok(Err(BodyReadError::NoMemory)) => {
+                // No failure of the endpoint: other bodies take this entry's memory.
+                self.call.executions.end_attempt(AttemptEnd::Lost);
+                self.failure = "the bodies of other calls take the memory";
+                return None;
+            }
             Ok(Err(error)) => {
                 let failure = AttemptFailure::Broken(format!("{error:?}"));
                 self.fail_attempt(&endpoint, &failure);
--- a/crates/entry/src/forward/relay.rs
+++ b/crates/entry/src/forward/relay.rs
@@ -3,16 +3,14 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use futures_util::stream;
-use http_body_util::{BodyExt, StreamBody};
+use http_body_util::BodyExt;
 use hyper::Response;
-use hyper::body::Frame;
 
 use chestnutloft_core::execution::AttemptEnd;
-use chestnutloft_core::routing::{CallKind, ModelLane};
+use chestnutloft_core::routing::CallKind;
 use chestnutloft_core::time::TimePoint;
 use chestnutloft_wire::clock;
-use chestnutloft_wire::http::{AnyBody, BodyError};
+use chestnutloft_wire::http::AnyBody;
 
 use crate::sse::EventSplitter;
 
@@ -20,13 +18,14 @@
 use super::choice::ChosenEndpoint;
 use super::pipeline::CallExecution;
 use super::segments::PROGRESS_EVENTS;
+use task::CallerPauses;
+
+mod task;
 
 /// Multiple of the route's target gap between events after which a stream is resumed elsewhere. A
 /// busy endpoint may exceed the target, and another endpoint has to process the whole prompt first,
 /// so resuming makes the stream late in any case: it pays only if the endpoint has stopped.
 const GAP_TIMEOUT_FACTOR: f64 = 2.0;
-/// Number of events over which the mean time between the events of a stream is measured.
-const GAP_SAMPLE_EVENTS: u64 = 6;
 /// Target gap between events for routes that declare none.
 const DEFAULT_TARGET_GAP: Duration = Duration::from_secs(2);
 
@@ -36,7 +35,7 @@
     /// Response of the current endpoint; `None` once it has ended or failed.
     response: Option<EndpointResponse>,
     splitter: EventSplitter,
-    /// Id of the last event that was relayed.
+    /// Id of the last event that was relayed or is buffered for the caller.
     last_id: Option<u64>,
     /// First events, received before the caller got the response head.
     first_events: Option<Bytes>,
@@ -47,6 +46,7 @@
     /// Whether the current endpoint may take until the deadline, since no other one can resume the
     /// stream.
     waits_until_deadline: bool,
+    pauses: CallerPauses,
     is_finished: bool,
 }
 
@@ -98,6 +98,7 @@
             gap_sample_start: GapSampleStart::default(),
             progress: AnswerProgress::default(),
             waits_until_deadline: false,
+            pauses: CallerPauses::default(),
             is_finished: false,
         };
         let timeout = relay.read_timeout();
@@ -128,30 +129,29 @@
             *head.headers_mut() = response.parts.headers.clone();
         }
         (self.execution.context.codec.strip_hop_by_hop)(head.headers_mut());
-        let body = stream::unfold(self, |mut relay| async move {
-            let frame = relay.next_frame().await?;
-            Some((frame, relay))
-        });
         let (parts, ()) = head.into_parts();
-        Response::from_parts(parts, BodyExt::boxed_unsync(StreamBody::new(body)))
+        Response::from_parts(parts, self.relay_to_caller())
     }
 
-    /// The next bytes for the caller, or `None` after a normal end of the stream. An error makes
-    /// the server close the caller's connection without ending the body.
-    async fn next_frame(&mut self) -> Option<Result<Frame<Bytes>, BodyError>> {
+    /// The next events, or `None` after a normal end of the stream. Fails with the reason for which
+    /// the stream cannot go on.
+    async fn next_events(&mut self) -> Option<Result<Bytes, String>> {
         if let Some(events) = self.first_events.take() {
-            return Some(Ok(Frame::data(events)));
+            return Some(Ok(events));
         }
         loop {
             if self.is_finished {
                 return None;
             }
             match self.read_within(self.read_timeout()).await {
-                StreamRead::Events(events) => return Some(Ok(Frame::data(events))),
+                StreamRead::Events(events) => return Some(Ok(events)),
                 StreamRead::End => {
                     self.release();
                     self.is_finished = true;
                 }
+                StreamRead::Interrupted(failure) if self.pauses.is_recent => {
+                    return Some(Err(self.end_after_pause(&failure)));
+                }
                 StreamRead::Interrupted(failure) => {
                     let next = self.choose_next_endpoint().await;
                     if self.may_continue(&failure) && next.is_err() {
@@ -166,17 +166,18 @@
                             self.execution.call.head.id,
                             self.event_count
                         );
-                        return Some(Err(problem.into()));
+                        return Some(Err(problem));
                     }
                 }
             }
         }
     }
 
-    /// Timeout for the next event: until the deadline, unless another endpoint could resume the
-    /// stream.
+    /// Timeout for the next event: until the deadline, which the caller's pauses put off, unless another
+    /// endpoint could resume the stream.
     fn read_timeout(&self) -> Duration {
-        let time_left = self.execution.call.time_left(clock::now());
+        let call = &self.execution.call;
+        let time_left = (call.deadline + self.pauses.total).since(clock::now());
         let target_gap = self.execution.call.route.target_gap_ms;
         let target_gap = target_gap.map_or(DEFAULT_TARGET_GAP, Duration::from_millis);
         let gap_timeout = target_gap.mul_f64(GAP_TIMEOUT_FACTOR);
@@ -193,8 +194,14 @@
     }
 
     async fn read_within(&mut self, timeout: Duration) -> StreamRead {
+        let started_at = clock::now();
         match tokio::time::timeout(timeout, self.read()).await {
-            Ok(result) => result,
+            Ok(result) => {
+                let is_events = matches!(result, StreamRead::Events(_));
+                self.pauses
+                    .record_read(clock::now().since(started_at), is_events);
+                result
+            }
             Err(_) => StreamRead::Interrupted(AttemptFailure::TimedOut(timeout)),
         }
     }
@@ -258,34 +265,6 @@
         }
     }
 
-    /// Records the time between events of a larger model's stream once per [`GAP_SAMPLE_EVENTS`]
-    /// events.
-    fn record_event_gap(&mut self) {
-        if self.execution.lane() != ModelLane::Large {
-            return;
-        }
-        let now = clock::now();
-        let Some(at) = self.gap_sample_start.at else {
-            self.gap_sample_start = GapSampleStart {
-                at: Some(now),
-                event_count: self.event_count,
-            };
-            return;
-        };
-        let events = self.event_count - self.gap_sample_start.event_count;
-        if events >= GAP_SAMPLE_EVENTS {
-            let took = now.since(at);
-            self.execution
-                .context
-                .state()
-                .record_event_gap(now, events, took);
-            self.gap_sample_start = GapSampleStart {
-                at: Some(now),
-                event_count: self.event_count,
-            };
-        }
-    }
-
     /// Whether the current endpoint's answer has gone on after its beginning.
     fn has_progress(&self) -> bool {
         self.event_count - self.progress.earlier_events >= PROGRESS_EVENTS
--- a/crates/entry/src/forward/retries.rs
+++ b/crates/entry/src/forward/retries.rs
@@ -70,6 +70,9 @@
             AttemptFailure::Broken(_) => {
                 self.failure = "the endpoint broke off";
             }
+            AttemptFailure::Unread => {
+                self.failure = "the endpoint was still reading the request";
+            }
             AttemptFailure::TimedOut(_) => {
                 self.failure = "the endpoint stayed silent";
             }
--- a/crates/entry/src/forward/server.rs
+++ b/crates/entry/src/forward/server.rs
@@ -89,6 +89,7 @@
     }
     let gauges = GaugeValues {
         body_bytes: context.bodies.reserved_bytes(),
+        relay_bytes: context.bodies.relays.held_bytes(),
         ..context.state().gauge_values(clock::now())
     };
     Response::new(full(context.metrics.render(&gauges)))
