--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -25,6 +25,7 @@
 mod prefix_directory;
 mod queue_delay;
 mod rate_limits;
+mod relay_memory;
 mod rollout;
 mod run_copies;
 mod segment_evidence;
@@ -35,6 +36,7 @@
 mod state;
 mod table;
 mod timed_placement;
+mod write_progress;
 
 pub use answer_counts::{AnswerCount, AnswerTable};
 pub use body_memory::{BodyDirection, BodyMemory, BodyPool, MAX_SMALL_BODY_BYTES};
@@ -75,6 +77,7 @@
 pub use prefix_directory::{PlacementLog, PrefixDirectory, PrefixHash, PrefixPlacement};
 pub use queue_delay::{PrefillTimeEstimator, QueueDelayEstimator, QueueDelaySettings, QueueState};
 pub use rate_limits::{LimitStatement, StatedLimits};
+pub use relay_memory::{RELAY_POOLS, RelayMemory, RelayNumber};
 pub use rollout::{RolloutOrder, RolloutStage, RolloutState, RolloutTiming};
 pub use run_copies::{
     CopyAnswer, CopyDecision, CopyTarget, MovePlace, RunCopySettings, RunMove, RunOutlook,
@@ -97,3 +100,4 @@
 pub use timed_placement::{
     TimedCandidate, TimedPlacementSettings, TimedRequest, TimedSelection, select_by_time,
 };
+pub use write_progress::WriteProgress;
--- a/crates/entry/src/forward/metrics.rs
+++ b/crates/entry/src/forward/metrics.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Gauge, Histogram, UpDownCounter};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, UpDownCounter};
 
 use chestnutloft_core::time::TimePoint;
 use chestnutloft_wire::metrics::MetricsPage;
@@ -53,6 +53,9 @@
     warming_endpoints: Gauge<u64>,
     warming_calls: Counter<u64>,
     body_memory: Gauge<u64>,
+    relay_memory: Gauge<u64>,
+    /// Calls ended since their callers did not read.
+    pub ended_relays: Counter<u64>,
     admission: AdmissionInstruments,
 }
 
@@ -91,6 +94,8 @@
     pub warming_endpoints: usize,
     /// Memory reserved for bodies, in bytes.
     pub body_bytes: usize,
+    /// Bytes of streams that callers have not read.
+    pub relay_bytes: usize,
 }
 
 impl Default for ForwardMetrics {
@@ -170,27 +175,51 @@
                 "Attempts at endpoints that warm up",
             ),
             body_memory: gauge("chestnutloft.body_memory", "Bytes reserved for bodies"),
-            admission: AdmissionInstruments {
-                waiting: meter
-                    .i64_up_down_counter("chestnutloft.admission.waiting")
-                    .with_description("Calls that wait for an endpoint")
-                    .build(),
-                admitted: counter(
-                    "chestnutloft.admission.admitted",
-                    "Calls that got an endpoint after waiting",
-                ),
-                refused: counter("chestnutloft.admission.refused", "Calls without capacity"),
-                expired: counter(
-                    "chestnutloft.admission.expired",
-                    "Calls whose time to start passed while they waited",
-                ),
-                wait: latency("chestnutloft.admission.wait", "Time in the queue"),
-            },
+            admission: AdmissionInstruments::new(&meter),
+            relay_memory: gauge(
+                "chestnutloft.relay_memory",
+                "Bytes of streams that callers have not read",
+            ),
+            ended_relays: counter(
+                "chestnutloft.relays.ended",
+                "Calls ended since their callers did not read",
+            ),
             page,
         }
     }
 }
 
+impl AdmissionInstruments {
+    fn new(meter: &Meter) -> Self {
+        let counter = |name: &'static str, description: &'static str| {
+            meter
+                .u64_counter(name)
+                .with_description(description)
+                .build()
+        };
+        let wait = meter
+            .f64_histogram("chestnutloft.admission.wait")
+            .with_description("Time in the queue")
+            .with_unit("s");
+        Self {
+            waiting: meter
+                .i64_up_down_counter("chestnutloft.admission.waiting")
+                .with_description("Calls that wait for an endpoint")
+                .build(),
+            admitted: counter(
+                "chestnutloft.admission.admitted",
+                "Calls that got an endpoint after waiting",
+            ),
+            refused: counter("chestnutloft.admission.refused", "Calls without capacity"),
+            expired: counter(
+                "chestnutloft.admission.expired",
+                "Calls whose time to start passed while they waited",
+            ),
+            wait: wait.with_boundaries(LATENCY_BOUNDS.to_vec()).build(),
+        }
+    }
+}
+
 impl ForwardMetrics {
     /// Counts a response that the caller gets; `model_index` is the model's index on the route.
     pub fn record_response(&self, call: &InboundCall, status: u16, model_index: usize) {
@@ -323,6 +352,7 @@
         self.warming_endpoints
             .record(gauges.warming_endpoints as u64, &[]);
         self.body_memory.record(gauges.body_bytes as u64, &[]);
+        self.relay_memory.record(gauges.relay_bytes as u64, &[]);
         self.page.text()
     }
 }
@@ -363,6 +393,7 @@
             leaving_endpoints: self.leaving_count(),
             warming_endpoints: self.slow_start.warming_count(),
             body_bytes: 0,
+            relay_bytes: 0,
         }
     }
 }
--- a/crates/entry/src/forward/relay.rs
+++ b/crates/entry/src/forward/relay.rs
@@ -3,15 +3,13 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use futures_util::stream;
-use http_body_util::{BodyExt, StreamBody};
+use http_body_util::BodyExt;
 use hyper::Response;
-use hyper::body::Frame;
 
-use chestnutloft_core::routing::{CallKind, ModelLane};
+use chestnutloft_core::routing::CallKind;
 use chestnutloft_core::time::TimePoint;
 use chestnutloft_wire::clock;
-use chestnutloft_wire::http::{AnyBody, BodyError};
+use chestnutloft_wire::http::AnyBody;
 
 use crate::sse::EventSplitter;
 
@@ -21,9 +19,9 @@
 use super::run_copies::{CopyContinuation, RunCopies};
 use super::segments::PROGRESS_EVENTS;
 use super::stream_silence::StreamSilence;
+use task::CallerPauses;
 
-/// Number of events over which the mean time between the events of a stream is measured.
-const GAP_SAMPLE_EVENTS: u64 = 6;
+mod task;
 
 /// A stream in progress.
 pub struct StreamRelay {
@@ -31,7 +29,7 @@
     /// Response of the current endpoint; `None` once it has ended or failed.
     pub(super) response: Option<EndpointResponse>,
     splitter: EventSplitter,
-    /// Id of the last event that was relayed.
+    /// Id of the last event that was relayed or is buffered for the caller.
     pub(super) last_id: Option<u64>,
     /// First events, received before the caller got the response head.
     first_events: Option<Bytes>,
@@ -44,6 +42,7 @@
     /// stream.
     waits_until_deadline: bool,
     pub(super) silence: StreamSilence,
+    pauses: CallerPauses,
     is_finished: bool,
 }
 
@@ -98,6 +97,7 @@
             copies: RunCopies::default(),
             waits_until_deadline: false,
             silence,
+            pauses: CallerPauses::default(),
             is_finished: false,
         };
         let timeout = relay.read_timeout();
@@ -129,19 +129,15 @@
             *head.headers_mut() = response.parts.headers.clone();
         }
         (self.execution.context.codec.strip_hop_by_hop)(head.headers_mut());
-        let body = stream::unfold(self, |mut relay| async move {
-            let frame = relay.next_frame().await?;
-            Some((frame, relay))
-        });
         let (parts, ()) = head.into_parts();
-        Response::from_parts(parts, BodyExt::boxed_unsync(StreamBody::new(body)))
+        Response::from_parts(parts, self.relay_to_caller())
     }
 
-    /// The next bytes for the caller, or `None` after a normal end of the stream. An error makes
-    /// the server close the caller's connection without ending the body.
-    async fn next_frame(&mut self) -> Option<Result<Frame<Bytes>, BodyError>> {
+    /// The next events, or `None` after a normal end of the stream. Fails with the reason for which
+    /// the stream cannot go on.
+    async fn next_events(&mut self) -> Option<Result<Bytes, String>> {
         if let Some(events) = self.first_events.take() {
-            return Some(Ok(Frame::data(events)));
+            return Some(Ok(events));
         }
         if self.execution.ends_when_silent() {
             // Time in which the caller did not read is no silence of the endpoint.
@@ -153,11 +149,14 @@
                 return None;
             }
             match self.read_or_move().await {
-                StreamRead::Events(events) => return Some(Ok(Frame::data(events))),
+                StreamRead::Events(events) => return Some(Ok(events)),
                 StreamRead::End => {
                     self.release();
                     self.is_finished = true;
                 }
+                StreamRead::Interrupted(failure) if self.pauses.is_recent => {
+                    return Some(Err(self.end_after_pause(&failure)));
+                }
                 StreamRead::Interrupted(failure) => {
                     let next = match self.continue_from_copy(&failure).await {
                         CopyContinuation::Continued => continue,
@@ -179,18 +178,18 @@
                             self.execution.call.head.id,
                             self.event_count
                         );
-                        return Some(Err(problem.into()));
+                        return Some(Err(problem));
                     }
                 }
             }
         }
     }
 
-    /// Timeout for the next event: until the deadline, unless another endpoint could resume the
-    /// stream.
+    /// Timeout for the next event: until the deadline, which the caller's pauses put off, unless another
+    /// endpoint could resume the stream or the endpoint has been silent for too long.
     pub(super) fn read_timeout(&self) -> Duration {
         let now = clock::now();
-        let time_left = self.execution.call.time_left(now);
+        let time_left = (self.execution.call.deadline + self.pauses.total).since(now);
         let has_other = self.can_resume() && !self.waits_until_deadline;
         let silence_left = self.silence.time_left(now, &self.execution, has_other);
         silence_left.map_or(time_left, |left| time_left.min(left))
@@ -202,8 +201,14 @@
     }
 
     pub(super) async fn read_within(&mut self, timeout: Duration) -> StreamRead {
+        let started_at = clock::now();
         match tokio::time::timeout(timeout, self.read()).await {
-            Ok(result) => result,
+            Ok(result) => {
+                let is_events = matches!(result, StreamRead::Events(_));
+                self.pauses
+                    .record_read(clock::now().since(started_at), is_events);
+                result
+            }
             Err(_) => StreamRead::Interrupted(AttemptFailure::TimedOut(timeout)),
         }
     }
@@ -268,34 +273,6 @@
         }
     }
 
-    /// Records the time between events of a larger model's stream once per [`GAP_SAMPLE_EVENTS`]
-    /// events.
-    fn record_event_gap(&mut self) {
-        if self.execution.lane() != ModelLane::Large {
-            return;
-        }
-        let now = clock::now();
-        let Some(at) = self.gap_sample_start.at else {
-            self.gap_sample_start = GapSampleStart {
-                at: Some(now),
-                event_count: self.event_count,
-            };
-            return;
-        };
-        let events = self.event_count - self.gap_sample_start.event_count;
-        if events >= GAP_SAMPLE_EVENTS {
-            let took = now.since(at);
-            self.execution
-                .context
-                .state()
-                .record_event_gap(now, events, took);
-            self.gap_sample_start = GapSampleStart {
-                at: Some(now),
-                event_count: self.event_count,
-            };
-        }
-    }
-
     /// Whether the current endpoint's answer has gone on after its beginning.
     fn has_progress(&self) -> bool {
         self.event_count - self.progress.earlier_events >= PROGRESS_EVENTS
