Record a decision before its answer ends, and spread the calls of the slow start tests

The tests of slow start sent all calls with one session and without a claim, so the choice among equal endpoints, which goes by a hash of the call, always fell on the same ones.

Change: the decision is recorded first. The tests use one session per call and claim capacity, as attempts do; they expect the same numbers, of 72 calls in place of 27.

--- a/crates/entry/src/chat.rs
+++ b/crates/entry/src/chat.rs
@@ -236,21 +236,27 @@
     async fn execute(mut self) {
         let outcome = self.run().await.map_err(|error| self.with_run_state(error));
         self.record.outcome = match &outcome {
-            Ok(()) => "answered".to_owned(),
+            Ok(_) => "answered".to_owned(),
             Err(StepError::CallerDisconnected) => "the caller went away".to_owned(),
             Err(StepError::Refused(refusal)) => refusal.to_string(),
         };
-        if let Err(StepError::Refused(refusal)) = outcome {
-            self.context.metrics.record_refusal(&refusal);
-            let _ = self.sender.send(AnswerPart::Failed(refusal)).await;
-        }
         self.context
             .router()
             .admission
             .finish(&self.request.parsed.workspace);
+        // Recorded before the answer ends: a caller that has it may ask for the decision at once.
         self.context
             .decisions
             .record(std::mem::take(&mut self.record));
+        let last_part = match outcome {
+            Ok(part) => part,
+            Err(StepError::CallerDisconnected) => return,
+            Err(StepError::Refused(refusal)) => {
+                self.context.metrics.record_refusal(&refusal);
+                AnswerPart::Failed(refusal)
+            }
+        };
+        let _ = self.sender.send(last_part).await;
     }
 
     /// Makes a refusal state whether any attempt may have run the request.
@@ -263,7 +269,8 @@
         }
     }
 
-    async fn run(&mut self) -> Result<(), StepError> {
+    /// Answers the request; returns the last part of the answer.
+    async fn run(&mut self) -> Result<AnswerPart, StepError> {
         let choice = self.choose_arm().await?;
         let mut steps = Vec::new();
         let answer = match &choice.arm {
@@ -280,12 +287,7 @@
         let cost = self.record_bill(&steps).await?;
         self.record_answer(answered_by, &answer, cost);
         self.offer_for_rating(&choice, answered_by, &answer);
-        let done = AnswerPart::Done(answer.usage, answered_by.clone());
-        self.sender
-            .send(done)
-            .await
-            .map_err(|_| CallerDisconnected)?;
-        Ok(())
+        Ok(AnswerPart::Done(answer.usage, answered_by.clone()))
     }
 
     async fn choose_arm(&mut self) -> Result<VersionChoice, Refusal> {
--- a/crates/entry/tests/slow_start.rs
+++ b/crates/entry/tests/slow_start.rs
@@ -96,11 +96,19 @@
 }
 
 fn choose(state: &mut EntryState, millis: u64) -> Result<ChosenEndpoint, NoEndpoint> {
+    choose_for(state, millis, 1)
+}
+
+fn choose_for(
+    state: &mut EntryState,
+    millis: u64,
+    session: u64,
+) -> Result<ChosenEndpoint, NoEndpoint> {
     let service = service();
     let tried = BTreeSet::new();
     let request = SelectionRequest {
         service: &service,
-        session: 1,
+        session,
         prompt: PromptSize::default(),
         lane: ModelLane::Any,
         tried: &tried,
@@ -110,11 +118,16 @@
     state.choose(at(millis), &request)
 }
 
+/// Calls that fill the known endpoints to three quarters, so that one with a free place gets some.
+const MANY_CALLS: usize = 72;
+
 /// Sends `count` calls that last, and returns how many the endpoint `id` got.
 fn calls_at(state: &mut EntryState, millis: u64, count: usize, id: &str) -> usize {
-    let sent = (0..count).filter(|_| {
-        let chosen = choose(state, millis).expect("an endpoint takes the call");
+    let sent = (0..count).filter(|call| {
+        let chosen = choose_for(state, millis, *call as u64);
+        let chosen = chosen.expect("an endpoint takes the call");
         state.start_attempt(at(millis), &chosen.id, 1.0);
+        state.claim_capacity(at(millis), &chosen);
         *chosen.id == *id
     });
     sent.count()
@@ -135,7 +148,7 @@
     let mut state = state(true);
     apply_endpoint(&mut state, 100, 2, endpoint(9, 5, 2));
 
-    let first = calls_at(&mut state, 200, 27, "e9");
+    let first = calls_at(&mut state, 200, MANY_CALLS, "e9");
     let values = state.gauge_values(at(200));
     let later = calls_at(&mut state, 6_000, 27, "e9");
 
@@ -165,7 +178,7 @@
     endpoint.born_ms = 5;
 
     state.record_warmup_answer(at(200), &endpoint, true);
-    let calls = calls_at(&mut state, 200, 27, "e9");
+    let calls = calls_at(&mut state, 200, MANY_CALLS, "e9");
     let counts = state.load_summary(at(200)).answers;
 
     assert_eq!(calls, 2);
