Count endpoints of similar cost as equal where engines run

Cause: 72 entries that read the same figures within the same 20 ms took the same endpoint; prompts met there and paused its streams. Bodies went to other failure domains for small differences.

Change: costs within 15% and 12 ms are equal for services with engines, another failure domain counts 60 ms, an idle endpoint 8 ms.

--- a/crates/core/src/routing/timed_placement.rs
+++ b/crates/core/src/routing/timed_placement.rs
@@ -40,7 +40,8 @@
     pub remote_ms: f64,
     /// Penalty for an endpoint that is recovering from an ejection, in milliseconds.
     pub trial_ms: f64,
-    /// Costs that differ by less than this share count as equal.
+    /// Costs that differ by less than this share count as equal. Many entries choose by the same
+    /// figures at the same time, and would otherwise all take the same endpoint.
     pub equal_share: f64,
     /// Costs that differ by less than this count as equal, in milliseconds.
     pub equal_ms: f64,
@@ -50,17 +51,30 @@
     fn default() -> Self {
         Self {
             full_ms: 250.0,
-            idle_ms: 25.0,
+            idle_ms: 8.0,
             long_ms: 250.0,
             waiting_ms: 150.0,
             delay_share: 0.04,
             pause_share: 0.3,
             reread_share: 0.5,
             mixed_ms: 20.0,
-            remote_ms: 15.0,
+            remote_ms: 60.0,
             trial_ms: 200.0,
+            equal_share: 0.15,
+            equal_ms: 12.0,
+        }
+    }
+}
+
+impl TimedPlacementSettings {
+    /// Weights for services without engines: their calls take a few milliseconds, so that small
+    /// differences count.
+    pub fn plain() -> Self {
+        Self {
+            remote_ms: 15.0,
             equal_share: 0.05,
             equal_ms: 3.0,
+            ..Self::default()
         }
     }
 }
--- a/crates/entry/src/forward/capacity.rs
+++ b/crates/entry/src/forward/capacity.rs
@@ -160,7 +160,11 @@
             .map(|endpoint| self.timed_candidate(now, endpoint, &holders))
             .collect();
         let timed_request = self.timed_request(request);
-        let settings = &self.capacity.placement;
+        let settings = if request.service.engine.is_some() {
+            &self.capacity.placement
+        } else {
+            &self.capacity.plain_placement
+        };
         let chosen =
             select_by_time(settings, &timed_request, &candidates).ok_or(NoEndpoint::Full)?;
         let prompt = &request.prompt;
--- a/crates/entry/src/forward/settings.rs
+++ b/crates/entry/src/forward/settings.rs
@@ -60,6 +60,8 @@
     pub is_ordered: bool,
     /// Weights of the choice of an endpoint where capacity is managed.
     pub placement: TimedPlacementSettings,
+    /// The same for services without engines.
+    pub plain_placement: TimedPlacementSettings,
     /// Load of the pool, as a fraction of its slots, above which escalations become dearer where
     /// capacity is managed: the ledger counts the calls of all entries, and calls that wait would
     /// take the place of an escalated one.
@@ -73,6 +75,7 @@
         Self {
             is_ordered: false,
             placement: TimedPlacementSettings::default(),
+            plain_placement: TimedPlacementSettings::plain(),
             busy_load: 0.6,
             full_load: 1.125,
         }
