Estimate the prefill of a call in one place, and an endpoint's usage once

Cause: both choices of an endpoint built the same prefill estimate, the choice by time looked up each endpoint's usage twice, a stream had two functions for its target gap, and a field of the selection was read by nothing.

Change: one estimate for both, one look-up, one target gap; checks that is_capacity_managed already makes are gone. Behaviour is the same.

--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -97,7 +97,5 @@
     RoutingCommand, RoutingOutcome, RoutingRevision, RoutingState, RoutingUpdate, StoredDeclaration,
 };
 pub use table::{KeyLookup, RouteTable};
-pub use timed_placement::{
-    TimedCandidate, TimedPlacementSettings, TimedRequest, TimedSelection, select_by_time,
-};
+pub use timed_placement::{TimedCandidate, TimedPlacementSettings, TimedRequest, select_by_time};
 pub use write_progress::WriteProgress;
--- a/crates/core/src/routing/timed_placement.rs
+++ b/crates/core/src/routing/timed_placement.rs
@@ -115,21 +115,12 @@
     pub max_pause_ms: f64,
 }
 
-/// The endpoint selected for a call.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct TimedSelection {
-    /// Index into the candidates.
-    pub index: usize,
-    /// Expected time until its prompt has been processed there, in milliseconds.
-    pub first_event_ms: f64,
-}
-
-/// Selects among the candidates of least expected cost; `None` if there are no candidates.
+/// Selects among the candidates of least expected cost and returns its index; `None` if there are no candidates.
 pub fn select_by_time(
     settings: &TimedPlacementSettings,
     request: &TimedRequest,
     candidates: &[TimedCandidate<'_>],
-) -> Option<TimedSelection> {
+) -> Option<usize> {
     let costs: Vec<f64> = candidates
         .iter()
         .map(|candidate| expected_cost(settings, request, candidate))
@@ -141,13 +132,7 @@
         rendezvous_weight(&request.call_hash.to_le_bytes(), id)
     };
     let equal = (0..candidates.len()).filter(|index| costs[*index] <= limit);
-    let index = equal.max_by_key(spread)?;
-    let candidate = &candidates[index];
-    let prefill_ms = request.prefill_ms(candidate.has_prefix);
-    Some(TimedSelection {
-        index,
-        first_event_ms: (candidate.wait_ms + prefill_ms) * candidate.pace,
-    })
+    equal.max_by_key(spread)
 }
 
 impl TimedRequest {
--- a/crates/core/tests/routing/timed_placement.rs
+++ b/crates/core/tests/routing/timed_placement.rs
@@ -33,7 +33,7 @@
 fn select(request: &TimedRequest, candidates: &[TimedCandidate<'_>]) -> usize {
     let settings = TimedPlacementSettings::default();
     let selection = select_by_time(&settings, request, candidates);
-    selection.expect("there are candidates").index
+    selection.expect("there are candidates")
 }
 
 /// Guards against many entries that read the same figures and all choose the same endpoint.
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -380,7 +380,7 @@
     resume_after: Option<u64>,
 ) -> Request<Full<Bytes>> {
     let service = &call.service;
-    let is_managed = service.engine.is_some() && context.state().is_capacity_managed(&service.name);
+    let is_managed = context.state().is_capacity_managed(&service.name);
     let head = AttemptHead {
         endpoint: &endpoint.id,
         workspace: call.workspace.as_ref().map(|rule| &*rule.name),
--- a/crates/entry/src/forward/capacity.rs
+++ b/crates/entry/src/forward/capacity.rs
@@ -16,7 +16,7 @@
 
 /// Age up to which an endpoint's own report of its load is used beside the ledger.
 const MAX_REPORT_AGE: Duration = Duration::from_millis(300);
-/// Number of readings and samples that are kept while no keeper leads. The oldest are dropped.
+/// Number of readings and samples that are kept while no keeper leads. Later ones are dropped.
 const MAX_NEWS: usize = 256;
 
 /// Readings of pace and comparisons of speed that the other entries have not been told yet.
@@ -140,8 +140,7 @@
         }
     }
 
-    /// Chooses among `endpoints`, none of which is empty, the one with room at which the call is
-    /// expected to cost least time.
+    /// Chooses among `endpoints` the one with room at which the call is expected to cost least time.
     pub(super) fn choose_by_time(
         &self,
         now: TimePoint,
@@ -150,15 +149,11 @@
     ) -> Result<ChosenEndpoint, NoEndpoint> {
         let claim = capacity_claim(request);
         let holders = self.prefix_holders(now, &request.prompt);
-        let with_room: Vec<&EndpointState> = endpoints
+        let (with_room, candidates): (Vec<&EndpointState>, Vec<TimedCandidate<'_>>) = endpoints
             .iter()
-            .copied()
-            .filter(|endpoint| self.has_room(now, endpoint, request.service, claim))
-            .collect();
-        let candidates: Vec<TimedCandidate<'_>> = with_room
-            .iter()
-            .map(|endpoint| self.timed_candidate(now, endpoint, &holders))
-            .collect();
+            .map(|endpoint| (*endpoint, self.timed_candidate(now, endpoint, &holders)))
+            .filter(|(_, candidate)| has_room(candidate, request.service, claim))
+            .unzip();
         let timed_request = self.timed_request(request);
         let settings = if request.service.engine.is_some() {
             &self.capacity.placement
@@ -167,23 +162,13 @@
         };
         let chosen =
             select_by_time(settings, &timed_request, &candidates).ok_or(NoEndpoint::Full)?;
-        let prompt = &request.prompt;
-        let uncached_tokens = if candidates[chosen.index].has_prefix {
-            prompt.suffix_tokens
-        } else {
-            prompt.total_tokens()
-        };
+        let candidate = &candidates[chosen];
         let prefill = PrefillEstimate {
-            model_hash: prompt.model_hash,
-            prefix_hash: prompt.prefix_hash,
-            uncached_tokens,
-            work_ms: self
-                .prefill_work
-                .prefill_ms(prompt.model_hash, uncached_tokens),
-            wait_ms: candidates[chosen.index].wait_ms,
-            pace: candidates[chosen.index].pace,
+            wait_ms: candidate.wait_ms,
+            pace: candidate.pace,
+            ..self.prefill_estimate(&request.prompt, candidate.has_prefix)
         };
-        let notice = &with_room[chosen.index].notice;
+        let notice = &with_room[chosen].notice;
         Ok(ChosenEndpoint::new(notice, prefill, Some(claim)))
     }
 
@@ -222,26 +207,18 @@
             has_prefix: holders.contains(&hash),
         }
     }
+}
 
-    /// Whether the endpoint may take a call with `claim`. Plain services have no such bound: their
-    /// calls end sooner than entries can tell each other of them.
-    fn has_room(
-        &self,
-        now: TimePoint,
-        endpoint: &EndpointState,
-        service: &ServiceRule,
-        claim: CapacityClaim,
-    ) -> bool {
-        let Some(engine) = &service.engine else {
-            return true;
-        };
+/// Whether the endpoint may take a call with `claim`. Plain services have no such bound: their
+/// calls end sooner than entries can tell each other of them.
+fn has_room(candidate: &TimedCandidate<'_>, service: &ServiceRule, claim: CapacityClaim) -> bool {
+    service.engine.as_ref().is_none_or(|engine| {
         let capacity = EndpointCapacity {
-            slots: f64::from(endpoint.notice.slots.max(1)),
+            slots: candidate.slots,
             tokens: engine.kv_tokens as f64,
         };
-        let usage = self.endpoint_usage(now, &endpoint.notice.id);
-        capacity.has_room(usage, claim)
-    }
+        capacity.has_room(candidate.usage, claim)
+    })
 }
 
 fn capacity_claim(request: &SelectionRequest<'_>) -> CapacityClaim {
--- a/crates/entry/src/forward/choice.rs
+++ b/crates/entry/src/forward/choice.rs
@@ -307,23 +307,33 @@
         let chosen = select_endpoint(&self.placement, &placement_request, &candidates)
             .ok_or(NoEndpoint::NoneReady)?;
         let notice = &preferred[chosen.index].notice;
-        let prompt = &request.prompt;
-        let uncached_tokens = if chosen.owns_prefix {
+        let prefill = PrefillEstimate {
+            wait_ms: candidates[chosen.index].wait_ms,
+            ..self.prefill_estimate(&request.prompt, chosen.owns_prefix)
+        };
+        Ok(ChosenEndpoint::new(notice, prefill, None))
+    }
+
+    /// Expected prefill of `prompt` at an idle endpoint, which may have the shared prefix cached.
+    pub(super) fn prefill_estimate(
+        &self,
+        prompt: &PromptSize,
+        has_prefix: bool,
+    ) -> PrefillEstimate {
+        let uncached_tokens = if has_prefix {
             prompt.suffix_tokens
         } else {
             prompt.total_tokens()
         };
-        let prefill = PrefillEstimate {
+        PrefillEstimate {
             model_hash: prompt.model_hash,
             prefix_hash: prompt.prefix_hash,
             uncached_tokens,
             work_ms: self
                 .prefill_work
                 .prefill_ms(prompt.model_hash, uncached_tokens),
-            wait_ms: candidates[chosen.index].wait_ms,
-            pace: 1.0,
-        };
-        Ok(ChosenEndpoint::new(notice, prefill, None))
+            ..PrefillEstimate::default()
+        }
     }
 
     fn placement_candidate<'a>(
--- a/crates/entry/src/forward/copy_choice.rs
+++ b/crates/entry/src/forward/copy_choice.rs
@@ -147,10 +147,8 @@
 
     /// Whether runs of the call may be copied, as far as its service and route allow it.
     pub(super) fn is_copyable(&self) -> bool {
-        let service = &self.call.service;
         self.call.route.kind == (CallKind::Stream { is_resumable: true })
-            && service.engine.is_some()
-            && self.context.state().is_capacity_managed(&service.name)
+            && self.is_capacity_managed()
     }
 
     /// Progress of the call's stream after `events` events. `event_gap` is the measured time
--- a/crates/entry/src/forward/stream_silence.rs
+++ b/crates/entry/src/forward/stream_silence.rs
@@ -8,9 +8,6 @@
 
 use super::pipeline::CallExecution;
 
-/// Target gap between events for routes that declare none.
-const DEFAULT_TARGET_GAP: Duration = Duration::from_secs(2);
-
 /// Multiple of the route's target gap between events after which a stream is resumed elsewhere. A
 /// busy endpoint may exceed the target, and another endpoint has to process the whole prompt first,
 /// so resuming makes the stream late in any case: it pays only if the endpoint has stopped.
@@ -50,7 +47,7 @@
         has_other: bool,
     ) -> Option<Duration> {
         if !execution.ends_when_silent() {
-            let timeout = execution.target_gap().mul_f64(GAP_TIMEOUT_FACTOR);
+            let timeout = execution.call.target_gap().mul_f64(GAP_TIMEOUT_FACTOR);
             return has_other.then_some(timeout);
         }
         let service = &execution.call.service.name;
@@ -78,17 +75,11 @@
             && self.is_capacity_managed()
     }
 
-    /// Target gap between the events of the call's stream.
-    pub(super) fn target_gap(&self) -> Duration {
-        let target_gap_ms = self.call.route.target_gap_ms;
-        target_gap_ms.map_or(DEFAULT_TARGET_GAP, Duration::from_millis)
-    }
-
     /// Longest silence of an endpoint of the call's stream.
     pub(super) fn max_silence(&self, alternative: StreamAlternative, has_events: bool) -> Duration {
         let limits = SilenceLimits {
             latency_target: self.call.latency_target(),
-            target_gap: self.target_gap(),
+            target_gap: self.call.target_gap(),
         };
         if has_events {
             limits.pause(alternative)
