--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -2,12 +2,14 @@
 //! when. Addresses loads where demand exceeds the capacity of a service.
 
 mod class_queue;
+mod class_reserve;
 mod drain_rate;
 mod queued_call;
 mod refusal_schedule;
 mod silence_limits;
 mod wait_queue;
 
+pub use class_reserve::{CapacityLimits, ClassRank, ClassReserve, ServiceClasses};
 pub use drain_rate::DrainRate;
 pub use queued_call::{
     PriorityClass, QueueError, QueueForecast, QueueSettings, QueuedCall, StartWindow, WaitOutlook,
--- a/crates/core/src/admission/queued_call.rs
+++ b/crates/core/src/admission/queued_call.rs
@@ -50,6 +50,14 @@
 }
 
 impl StartWindow {
+    /// A window without a time in which the call could start late.
+    pub fn until(end: TimePoint) -> Self {
+        Self {
+            useful_until: end,
+            late_until: end,
+        }
+    }
+
     /// The latest start of all.
     pub fn end(self) -> TimePoint {
         self.useful_until.max(self.late_until)
--- a/crates/core/src/routing/capacity_ledger.rs
+++ b/crates/core/src/routing/capacity_ledger.rs
@@ -19,9 +19,6 @@
 const FULL_WEIGHT_AGE: Duration = Duration::from_millis(500);
 /// Age at which the other entries' usage no longer counts. By then most of the calls have ended.
 const MAX_USAGE_AGE: Duration = Duration::from_secs(4);
-/// Share of the slots that may wait at an endpoint beyond those that run. Calls that wait there are
-/// out of reach of the order in which entries admit calls.
-const WAITING_SHARE: f64 = 0.125;
 /// Share of an endpoint's memory that calls may take. The rest covers calls that other entries have
 /// sent since the last exchange: an endpoint whose memory is exceeded ends.
 const MEMORY_SHARE: f64 = 0.9;
@@ -88,22 +85,20 @@
 /// Capacity of one endpoint.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct EndpointCapacity {
-    /// Calls that it runs at the same time.
-    pub slots: f64,
+    /// Calls that it may hold, as far as the class of the call to place may use them.
+    pub places: f64,
     /// Tokens that fit into its memory; 0 if unknown.
     pub tokens: f64,
 }
 
 impl EndpointCapacity {
-    /// Whether an endpoint with `usage` may take one more call. A few calls may wait there, so that
-    /// a freed slot is not idle until the next call arrives.
+    /// Whether an endpoint with `usage` may take one more call.
     pub fn has_room(&self, usage: UsageSum, claim: CapacityClaim) -> bool {
-        let max_calls = (self.slots * (1.0 + WAITING_SHARE)).ceil();
         let fits_memory =
             self.tokens <= 0.0 || usage.tokens + claim.tokens <= self.tokens * MEMORY_SHARE;
         // A call that alone takes more than the share runs at an endpoint without others.
         let is_alone = usage.calls < 1.0 && claim.tokens <= self.tokens;
-        usage.calls + 1.0 <= max_calls && (fits_memory || is_alone)
+        usage.calls + 1.0 <= self.places && (fits_memory || is_alone)
     }
 }
 
--- a/crates/core/src/routing/endpoint_pace.rs
+++ b/crates/core/src/routing/endpoint_pace.rs
@@ -26,7 +26,7 @@
 /// Number of answers over which the speed of an endpoint is averaged.
 const SPEED_WINDOW: f64 = 40.0;
 /// Bound on the log ratio of one answer, so that an outlier does not dominate the mean.
-const MAX_LOG_RATIO: f64 = 1.5;
+const MAX_LOG_RATIO: f64 = 2.5;
 /// Units of the log ratio in a sample.
 const RATIO_UNITS: f64 = 100.0;
 
@@ -176,6 +176,12 @@
         self.means.iter().map(sample).collect()
     }
 
+    /// Ratio of measured to expected time; `None` with less than `min_count` answers.
+    pub fn ratio(&self, key: EndpointHash, min_count: f64) -> Option<f64> {
+        let mean = self.means.get(&key)?;
+        (mean.count >= min_count).then(|| mean.log_ratio.exp())
+    }
+
     /// Usual time that work takes at `endpoint`, as a multiple of the expected time. Endpoints with
     /// few answers count as usual.
     pub fn factor(&self, endpoint: EndpointHash) -> f64 {
--- a/crates/core/src/routing/escalation.rs
+++ b/crates/core/src/routing/escalation.rs
@@ -11,6 +11,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::admission::ClassRank;
+
 /// When a call is escalated to a larger model. Worth and price are in the unit of the declared
 /// cost of models.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -51,6 +53,63 @@
     pub full_slowdown: f64,
 }
 
+/// Load of a pool, as a fraction of its slots, between which escalations become dearer until they
+/// stop.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct LoadBounds {
+    /// Load above which escalations become dearer.
+    pub busy: f64,
+    /// Load from which calls are no longer escalated.
+    pub full: f64,
+}
+
+impl Default for LoadBounds {
+    fn default() -> Self {
+        Self {
+            busy: 0.3,
+            full: 1.0,
+        }
+    }
+}
+
+/// Bounds by the class of the call. A larger model takes ten times the endpoint time of the smallest
+/// one, so a filling pool first gives up the escalations of the less urgent classes.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ClassLoadBounds {
+    /// Bounds of the most urgent class.
+    pub most_urgent: LoadBounds,
+    /// Bounds of the least urgent class; the others lie between.
+    pub least_urgent: LoadBounds,
+}
+
+impl Default for ClassLoadBounds {
+    fn default() -> Self {
+        Self {
+            most_urgent: LoadBounds {
+                busy: 0.85,
+                full: 1.25,
+            },
+            least_urgent: LoadBounds {
+                busy: 0.3,
+                full: 0.7,
+            },
+        }
+    }
+}
+
+impl ClassLoadBounds {
+    /// Bounds of a class with this rank.
+    pub fn of_rank(&self, rank: ClassRank) -> LoadBounds {
+        let (first, last) = (self.most_urgent, self.least_urgent);
+        LoadBounds {
+            busy: rank.interpolate(first.busy, last.busy),
+            full: rank.interpolate(first.full, last.full),
+        }
+    }
+}
+
 /// Load of the endpoints of a service.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PoolLoad {
@@ -81,6 +140,21 @@
     pub output: f64,
 }
 
+/// Share of the latency target within which the largest model must be expected to answer for it to be
+/// asked first.
+const DIRECT_SHARE: f64 = 0.9;
+
+/// Expected times until the models' answers to a call begin.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct FirstDelays {
+    /// Of the smallest model.
+    pub smallest: Duration,
+    /// Of the largest model.
+    pub largest: Duration,
+    /// Target time until the answer begins.
+    pub target_latency: Duration,
+}
+
 /// An answer that may be discarded for that of a larger model.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct EscalationCandidate {
@@ -94,6 +168,8 @@
     pub elapsed: Duration,
     /// Target time until the answer begins.
     pub target_latency: Duration,
+    /// Expected time until the largest model's answer begins if it is asked now; zero if not known.
+    pub expected_delay: Duration,
 }
 
 impl Default for EscalationSettings {
@@ -136,13 +212,30 @@
         let confidence = answer.confidence?;
         let largest = self.costs.len().checked_sub(1)?;
         let is_late = answer.elapsed > answer.target_latency.mul_f64(self.settings.latest_share);
-        if answer.model_index >= largest || is_late {
+        // An answer after the target is worth less than one of the smaller model in time.
+        let is_too_slow = answer.elapsed + answer.expected_delay > answer.target_latency;
+        if answer.model_index >= largest || is_late || is_too_slow {
             return None;
         }
         let is_paid_for = self.error_chance(confidence) >= self.min_error_chance(answer, pool);
         is_paid_for.then_some(largest)
     }
 
+    /// Index of the model to ask first. The smallest model answers most calls for the least cost,
+    /// unless its answer would only take the time that the largest one needs to answer within the
+    /// target.
+    pub fn first_model(&self, delays: &FirstDelays, pool: PoolLoad) -> usize {
+        let target = delays.target_latency;
+        let in_turn = delays.smallest + delays.largest;
+        let is_in_time_alone = delays.largest <= target.mul_f64(DIRECT_SHARE);
+        let is_idle = pool.utilization < self.settings.full_load;
+        if is_in_time_alone && in_turn > target && is_idle {
+            self.costs.len().saturating_sub(1)
+        } else {
+            0
+        }
+    }
+
     /// Chance that an answer of this confidence is wrong.
     fn error_chance(&self, confidence: f64) -> f64 {
         let settings = &self.settings;
--- a/crates/core/src/routing/load_aggregation.rs
+++ b/crates/core/src/routing/load_aggregation.rs
@@ -67,6 +67,8 @@
     /// From an entry: answers since its last report. To an entry: the means over all entries, where
     /// it has not got them for [`SPEED_INTERVAL`].
     pub speeds: Vec<SpeedSample>,
+    /// The same for the time to process prompts, by model and length.
+    pub prefills: Vec<SpeedSample>,
     /// Prompt prefixes that were sent to endpoints, as far as the receiver may not know.
     pub prefixes: Vec<PrefixPlacement>,
     /// Answers of endpoints that warm up.
@@ -91,6 +93,7 @@
     usage: UsageTotals,
     paces: PaceReadings,
     speeds: SpeedMeans,
+    prefills: SpeedMeans,
     prefixes: PlacementLog,
     answers: AnswerTable,
 }
@@ -112,6 +115,7 @@
         let leaving = self.leaving.statements(now);
         let paces = self.exchange_paces(now, entry, &std::mem::take(&mut load.paces));
         self.speeds.add(&std::mem::take(&mut load.speeds));
+        self.prefills.add(&std::mem::take(&mut load.prefills));
         let prefixes = self
             .prefixes
             .exchange(entry, &std::mem::take(&mut load.prefixes));
@@ -159,6 +163,11 @@
             } else {
                 Vec::new()
             },
+            prefills: if is_speed_due {
+                self.prefills.report()
+            } else {
+                Vec::new()
+            },
             answers,
         }
     }
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -22,6 +22,7 @@
 mod leaving_endpoints;
 mod load_aggregation;
 mod placement;
+mod prefill_profile;
 mod prefix_directory;
 mod queue_delay;
 mod rate_limits;
@@ -64,7 +65,8 @@
 pub use endpoint_pace::{PaceReading, PaceReadings, SpeedMeans, SpeedSample, speed_sample};
 pub use endpoint_rest::EndpointRest;
 pub use escalation::{
-    CallTokens, EscalationCandidate, EscalationPolicy, EscalationSettings, PoolLoad,
+    CallTokens, ClassLoadBounds, EscalationCandidate, EscalationPolicy, EscalationSettings,
+    FirstDelays, LoadBounds, PoolLoad,
 };
 pub use event_gap::{EventGapReport, EventGapTracker, IdleGap};
 pub use health::{HealthSettings, PoolHealth};
@@ -74,6 +76,7 @@
     EndpointCandidate, ModelLane, PlacementRequest, PlacementSettings, SelectedEndpoint,
     select_endpoint,
 };
+pub use prefill_profile::PrefillProfile;
 pub use prefix_directory::{PlacementLog, PrefixDirectory, PrefixHash, PrefixPlacement};
 pub use queue_delay::{PrefillTimeEstimator, QueueDelayEstimator, QueueDelaySettings, QueueState};
 pub use rate_limits::{LimitStatement, StatedLimits};
--- a/crates/core/src/routing/table.rs
+++ b/crates/core/src/routing/table.rs
@@ -3,6 +3,8 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use crate::admission::{ClassRank, PriorityClass, ServiceClasses};
+
 use super::declaration::{RouteDeclaration, RouteRule, ServiceRule, WorkspaceRule};
 
 /// Result of looking up a caller's API key.
@@ -23,6 +25,7 @@
     pub number: u64,
     hosts: HashMap<Arc<str>, HashMap<Arc<str>, Arc<RouteRule>>>,
     services: HashMap<Arc<str>, Arc<ServiceRule>>,
+    classes: HashMap<Arc<str>, ServiceClasses>,
     workspaces_by_key: HashMap<Arc<str>, Arc<WorkspaceRule>>,
     has_workspaces: bool,
 }
@@ -44,6 +47,8 @@
         }
         for rule in &declaration.services {
             let rule = Arc::new(rule.clone());
+            let classes = service_classes(declaration, &rule.name);
+            table.classes.insert(Arc::clone(&rule.name), classes);
             table.services.insert(Arc::clone(&rule.name), rule);
         }
         for rule in &declaration.workspaces {
@@ -69,6 +74,12 @@
         self.services.get(name)
     }
 
+    /// Rank of `class` among the classes of the calls of `service`.
+    pub fn class_rank(&self, service: &str, class: PriorityClass) -> ClassRank {
+        let classes = self.classes.get(service);
+        classes.map_or_else(ClassRank::default, |classes| classes.rank(class))
+    }
+
     /// Looks up the workspace that `key` belongs to, if `route` needs a key.
     pub fn look_up_key(&self, route: &RouteRule, key: Option<&str>) -> KeyLookup {
         if !self.has_workspaces || !route.needs_key {
@@ -80,3 +91,17 @@
             })
     }
 }
+
+fn service_classes(declaration: &RouteDeclaration, service: &str) -> ServiceClasses {
+    let workspaces = declaration.workspaces.iter();
+    let mut workspaces: Vec<u32> = workspaces
+        .map(|rule| rule.priority.unwrap_or_default())
+        .collect();
+    if workspaces.is_empty() {
+        workspaces.push(0);
+    }
+    let has_share = |rule: &&RouteRule| rule.shares.iter().any(|share| &*share.service == service);
+    let routes = declaration.routes.iter().filter(has_share);
+    let routes: Vec<u32> = routes.map(|rule| rule.priority).collect();
+    ServiceClasses::new(&workspaces, &routes)
+}
--- a/crates/core/src/routing/timed_placement.rs
+++ b/crates/core/src/routing/timed_placement.rs
@@ -7,7 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::hash::rendezvous_weight;
+use crate::hash::{key_hash, rendezvous_weight};
 
 use super::capacity_ledger::UsageSum;
 
@@ -18,11 +18,12 @@
     /// Time added by an endpoint whose slots are all in use, in milliseconds. Scales with the square
     /// of the calls: a few calls hardly slow each other down.
     pub full_ms: f64,
-    /// Time added to a call of short work by an endpoint without calls, in milliseconds, so that
-    /// endpoints stay free for long prompts, which would delay the streams of any other.
-    pub idle_ms: f64,
-    /// Work from which a prompt counts as long, in milliseconds.
-    pub long_ms: f64,
+    /// Share of the endpoints that are preferred for long prompts. A long prompt delays all streams of
+    /// its endpoint by more than their callers accept, so other calls leave these endpoints free as
+    /// long as the others have capacity.
+    pub long_prompt_share: f64,
+    /// Time added to a call without a long prompt by such an endpoint, in milliseconds.
+    pub long_prompt_ms: f64,
     /// Time added by each call that has to wait for a slot, in milliseconds.
     pub waiting_ms: f64,
     /// Share of a prompt's processing time that counts for each stream that it delays.
@@ -40,7 +41,8 @@
     pub remote_ms: f64,
     /// Penalty for an endpoint that is recovering from an ejection, in milliseconds.
     pub trial_ms: f64,
-    /// Costs that differ by less than this share count as equal. Many entries choose by the same
+    /// Costs count as equal if they differ by less than this share of what exceeds the time for the
+    /// call's own prompt, which it takes everywhere. Many entries choose by the same
     /// figures at the same time, and would otherwise all take the same endpoint.
     pub equal_share: f64,
     /// Costs that differ by less than this count as equal, in milliseconds.
@@ -51,11 +53,11 @@
     fn default() -> Self {
         Self {
             full_ms: 250.0,
-            idle_ms: 8.0,
-            long_ms: 250.0,
+            long_prompt_share: 0.2,
+            long_prompt_ms: 60.0,
             waiting_ms: 150.0,
             delay_share: 0.04,
-            pause_share: 0.3,
+            pause_share: 1.0,
             reread_share: 0.5,
             mixed_ms: 20.0,
             remote_ms: 60.0,
@@ -67,10 +69,18 @@
 }
 
 impl TimedPlacementSettings {
+    /// Whether the endpoint `id` is one of those that are preferred for long prompts. All entries
+    /// agree, since only the id counts.
+    fn is_for_long_prompts(&self, id: &str) -> bool {
+        let position = key_hash(id.as_bytes()) as u32;
+        f64::from(position) < self.long_prompt_share * f64::from(u32::MAX)
+    }
+
     /// Weights for services without engines: their calls take a few milliseconds, so that small
     /// differences count.
     pub fn plain() -> Self {
         Self {
+            long_prompt_share: 0.0,
             remote_ms: 15.0,
             equal_share: 0.05,
             equal_ms: 3.0,
@@ -126,7 +136,8 @@
         .map(|candidate| expected_cost(settings, request, candidate))
         .collect();
     let least = costs.iter().copied().min_by(f64::total_cmp)?;
-    let limit = least * (1.0 + settings.equal_share) + settings.equal_ms;
+    let avoidable_ms = (least - request.prefill_ms(true)).max(0.0);
+    let limit = least + avoidable_ms * settings.equal_share + settings.equal_ms;
     let spread = |index: &usize| {
         let id = candidates[*index].id.as_bytes();
         rendezvous_weight(&request.call_hash.to_le_bytes(), id)
@@ -150,12 +161,13 @@
     let calls = candidate.usage.calls;
     let waiting = (calls + 1.0 - candidate.slots).max(0.0);
     let load = calls / candidate.slots.max(1.0);
-    let idle_ms = if calls < 1.0 && prefill_ms < settings.long_ms {
-        settings.idle_ms
-    } else {
+    let is_long = prefill_ms * candidate.pace > request.max_pause_ms / 2.0;
+    let reserved_ms = if is_long || !settings.is_for_long_prompts(candidate.id) {
         0.0
+    } else {
+        settings.long_prompt_ms
     };
-    let load_ms = settings.full_ms * load * load + settings.waiting_ms * waiting + idle_ms;
+    let load_ms = settings.full_ms * load * load + settings.waiting_ms * waiting + reserved_ms;
     let work_ms = candidate.wait_ms + prefill_ms;
     let pause_ms = (work_ms * candidate.pace - request.max_pause_ms / 2.0).max(0.0);
     let delay_ms = calls
--- a/crates/core/tests/routing/capacity_ledger.rs
+++ b/crates/core/tests/routing/capacity_ledger.rs
@@ -35,13 +35,18 @@
     ledger.set_peers(now, &reply.usage);
 }
 
+/// Places of an endpoint with 12 slots for the most urgent class.
+fn places() -> f64 {
+    ClassReserve::default().places(12.0, ClassRank::MOST_URGENT)
+}
+
 /// Guards against entries that each fill an endpoint, since they see their own calls only.
 #[test]
 fn entries_decide_by_the_calls_of_all() {
     let mut aggregator = LoadAggregator::default();
     let mut ledgers = vec![CapacityLedger::default(); 72];
     let capacity = EndpointCapacity {
-        slots: 12.0,
+        places: places(),
         tokens: 400_000.0,
     };
     let mut sent = 0;
@@ -65,7 +70,7 @@
 #[test]
 fn calls_never_exceed_the_memory_of_an_endpoint() {
     let capacity = EndpointCapacity {
-        slots: 12.0,
+        places: places(),
         tokens: 400_567.0,
     };
     let mut ledger = CapacityLedger::default();
@@ -85,7 +90,7 @@
 #[test]
 fn the_largest_call_runs_alone() {
     let capacity = EndpointCapacity {
-        slots: 12.0,
+        places: places(),
         tokens: 100_000.0,
     };
     let idle = UsageSum::default();
--- a/crates/entry/src/forward/admission.rs
+++ b/crates/entry/src/forward/admission.rs
@@ -4,14 +4,15 @@
 use std::time::Duration;
 
 use chestnutloft_core::admission::{
-    PriorityClass, QueueError, QueuedCall, StartWindow, WaitOutlook,
+    CapacityLimits, ClassRank, PriorityClass, QueueError, QueuedCall, StartWindow, WaitOutlook,
 };
 use chestnutloft_core::routing::ServiceRule;
 use chestnutloft_core::time::TimePoint;
 use chestnutloft_wire::clock;
 
 use super::admission_queues::QueuePlace;
-use super::choice::{ChosenEndpoint, NoEndpoint, PromptSize};
+use super::attempt::AttemptGuard;
+use super::choice::{NoEndpoint, PromptSize};
 use super::codec::CallRefusal;
 use super::metrics::AdmissionOutcome;
 use super::pipeline::{CallExecution, MIN_ATTEMPT_TIME};
@@ -23,6 +24,12 @@
 /// Time after which a waiting call tries without an event: rests and rate limits end by the passing
 /// of time.
 const FALLBACK_INTERVAL: Duration = Duration::from_millis(100);
+/// Time for which an escalated call waits for a place at a larger model. The answer that it holds
+/// meanwhile is late if its first event reaches the caller 200 ms after it was sent.
+const ESCALATION_WAIT: Duration = Duration::from_millis(120);
+/// Rank up to which an escalated call gives up the answer that it holds and waits longer. For less
+/// urgent classes, a place comes too rarely in a shortage.
+const MAX_WAITING_RANK: ClassRank = ClassRank::MIDDLE;
 /// Share of the time until its deadline that a call needs for its answer even if it may be late.
 const ANSWER_TIME_SHARE: f64 = 0.25;
 /// Work of a call that has no prompt, in milliseconds. Calls of such a service are alike, so the
@@ -75,7 +82,7 @@
         prompt: &PromptSize,
         output_tokens: u32,
     ) -> CallWork {
-        let prefill_ms = |tokens| self.prefill_work.prefill_ms(prompt.model_hash, tokens);
+        let prefill_ms = |tokens| self.prefill_ms(prompt.model_hash, tokens);
         let Some(engine) = &service.engine else {
             let first_event = Duration::from_secs_f64(PLAIN_WORK_MS / 1_000.0);
             return CallWork {
@@ -104,7 +111,7 @@
     }
 
     /// Chooses an endpoint. If none accepts calls, waits for one, unless an answer is held.
-    pub async fn choose_endpoint(&mut self) -> Result<ChosenEndpoint, CallRefusal> {
+    pub async fn choose_endpoint(&mut self) -> Result<AttemptGuard, CallRefusal> {
         let started_at = clock::now();
         self.context.load_exchange.refresh(started_at).await;
         if self.is_capacity_managed() {
@@ -118,11 +125,12 @@
     fn try_choose(
         &self,
         now: TimePoint,
-    ) -> Result<Result<ChosenEndpoint, NoEndpoint>, CallRefusal> {
+        limits: CapacityLimits,
+    ) -> Result<Result<AttemptGuard, NoEndpoint>, CallRefusal> {
         if self.call.time_left(now) < MIN_ATTEMPT_TIME {
             return Err(self.final_refusal());
         }
-        match self.choose_now(now) {
+        match self.choose_now(now, limits) {
             Err(no_endpoint @ NoEndpoint::AtRest { left }) => {
                 Err(self.refusal_for(now, no_endpoint.reason(), left))
             }
@@ -135,8 +143,9 @@
     async fn choose_within_bound(
         &self,
         started_at: TimePoint,
-    ) -> Result<ChosenEndpoint, CallRefusal> {
+    ) -> Result<AttemptGuard, CallRefusal> {
         let mut changed = self.context.capacity_changed.subscribe();
+        let limits = self.class_limits();
         let max_wait = if self.held_answer.is_some() {
             Duration::ZERO
         } else {
@@ -144,8 +153,8 @@
         };
         loop {
             let now = clock::now();
-            let no_endpoint = match self.try_choose(now)? {
-                Ok(endpoint) => return Ok(endpoint),
+            let no_endpoint = match self.try_choose(now, limits)? {
+                Ok(guard) => return Ok(guard),
                 Err(no_endpoint) => no_endpoint,
             };
             let wait_left = max_wait.saturating_sub(now.since(started_at));
@@ -157,21 +166,18 @@
     }
 
     /// Chooses an endpoint once it is the call's turn.
-    async fn choose_in_turn(&self) -> Result<ChosenEndpoint, CallRefusal> {
+    async fn choose_in_turn(&mut self) -> Result<AttemptGuard, CallRefusal> {
         let now = clock::now();
         let queued = self.queued_call(now);
         let service = &self.call.service.name;
         let mut reason = "calls that are as urgent wait for an endpoint";
         let must_wait = self.context.admission.must_wait(now, service, queued.class);
         if !must_wait {
-            match self.try_choose(now)? {
-                Ok(endpoint) => return Ok(endpoint),
+            match self.try_choose(now, self.class_limits())? {
+                Ok(guard) => return Ok(guard),
                 Err(no_endpoint) => reason = no_endpoint.reason(),
             }
         }
-        if self.held_answer.is_some() {
-            return Err(self.refusal(now, reason));
-        }
         let place = match QueuePlace::join(&self.context, now, &self.call, &queued) {
             Ok(place) => place,
             Err(error) => {
@@ -188,12 +194,13 @@
 
     /// Tries when it is the call's turn, until its time is over.
     async fn wait_for_turn(
-        &self,
+        &mut self,
         place: QueuePlace,
         joined_at: TimePoint,
-    ) -> Result<ChosenEndpoint, CallRefusal> {
+    ) -> Result<AttemptGuard, CallRefusal> {
         let mut reason = "calls that are as urgent wait for an endpoint";
         let mut may_try = false;
+        let limits = self.class_limits();
         loop {
             let now = clock::now();
             let outlook = self.outlook(now, &place);
@@ -203,11 +210,11 @@
                 return self.choose_or_refuse(now, reason, &cause);
             };
             if may_try || place.is_next(now) {
-                match self.try_choose(now)? {
-                    Ok(endpoint) => {
+                match self.try_choose(now, limits)? {
+                    Ok(guard) => {
                         place.start(now);
                         self.record_outcome(now, joined_at, AdmissionOutcome::Admitted);
-                        return Ok(endpoint);
+                        return Ok(guard);
                     }
                     Err(no_endpoint) => {
                         reason = no_endpoint.reason();
@@ -215,10 +222,18 @@
                     }
                 }
             }
+            if self.is_hold_over(now, joined_at) {
+                self.discard_held_answer();
+            }
             may_try = place.wait(until.since(now).min(FALLBACK_INTERVAL)).await;
         }
     }
 
+    /// Whether the call, which waits since `joined_at`, gives up the answer that it holds.
+    fn is_hold_over(&self, now: TimePoint, joined_at: TimePoint) -> bool {
+        self.held_answer.is_some() && now.since(joined_at) >= ESCALATION_WAIT
+    }
+
     /// Prospect of the call, whose time to start is over once the entry shuts down.
     fn outlook(&self, now: TimePoint, place: &QueuePlace) -> WaitOutlook {
         if *self.context.refusing_calls.borrow() {
@@ -227,17 +242,21 @@
         place.outlook(now)
     }
 
-    /// Takes an endpoint that is free after all, or refuses the call because of `cause`: nothing is
-    /// refused while places are free.
+    /// Takes an endpoint that is free after all, a reserved place included, or refuses the call because
+    /// of `cause`: nothing is refused while places are free. A call that holds an answer relays it
+    /// instead, which is no refusal.
     fn choose_or_refuse(
         &self,
         now: TimePoint,
         reason: &'static str,
         cause: &RefusalCause,
-    ) -> Result<ChosenEndpoint, CallRefusal> {
-        if let Ok(endpoint) = self.try_choose(now)? {
+    ) -> Result<AttemptGuard, CallRefusal> {
+        if self.held_answer.is_some() {
+            return Err(self.refusal(now, reason));
+        }
+        if let Ok(guard) = self.try_choose(now, CapacityLimits::LastResort)? {
             self.record_outcome(now, cause.joined_at, AdmissionOutcome::Admitted);
-            return Ok(endpoint);
+            return Ok(guard);
         }
         let queued = self.queued_call(now);
         let service = &self.call.service.name;
@@ -262,6 +281,22 @@
         Err(self.refusal_after(reason, forecast.retry_after))
     }
 
+    /// Class of the call: the priority of its workspace, then that of its route.
+    fn priority_class(&self) -> PriorityClass {
+        let (workspace, route) = self.call.priority();
+        PriorityClass { workspace, route }
+    }
+
+    /// Rank of the call's class among those of its service.
+    pub(super) fn class_rank(&self) -> ClassRank {
+        let state = self.context.state();
+        state.class_rank(&self.call.service.name, self.priority_class())
+    }
+
+    fn class_limits(&self) -> CapacityLimits {
+        CapacityLimits::OfClass(self.class_rank())
+    }
+
     /// The call as the queue of its service sees it.
     fn queued_call(&self, now: TimePoint) -> QueuedCall<'_> {
         let head = &self.call.head;
@@ -273,12 +308,11 @@
             .context
             .state()
             .call_work(now, service, &prompt, output_tokens);
-        let (workspace, route) = self.call.priority();
         let owner = self.call.workspace.as_ref();
         QueuedCall {
             workspace: owner.map_or("", |rule| &*rule.name),
             weight: 1.0,
-            class: PriorityClass { workspace, route },
+            class: self.priority_class(),
             work_ms: work.work_ms,
             window: self.start_window(now, work.first_event),
         }
@@ -288,16 +322,15 @@
     /// attempt may start for a share of the target in any case, and not be queued as late: its
     /// caller has waited already.
     fn start_window(&self, now: TimePoint, first_event: Duration) -> StartWindow {
+        if self.held_answer.is_some() && self.class_rank() > MAX_WAITING_RANK {
+            return StartWindow::until(now + ESCALATION_WAIT);
+        }
         let target = self.call.latency_target();
         let last_start = self.call.deadline - MIN_ATTEMPT_TIME;
         let useful_until = (self.call.received_at + target - first_event).min(last_start);
         if self.attempts > 0 {
             let bound = (now + target.mul_f64(CHOICE_WAIT_SHARE)).min(last_start);
-            let useful_until = useful_until.max(bound);
-            return StartWindow {
-                useful_until,
-                late_until: useful_until,
-            };
+            return StartWindow::until(useful_until.max(bound));
         }
         let timeout = self.call.deadline.since(self.call.received_at);
         let late_until = self.call.deadline - timeout.mul_f64(ANSWER_TIME_SHARE);
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -20,6 +20,7 @@
 use super::context::ForwardContext;
 use super::inbound::InboundCall;
 use super::segments::lost_call;
+use super::state::EntryState;
 use super::write_meter::{CurrentMeter, send_within};
 
 /// Idle time after which a connection is not reused for a call that may run only once: if the
@@ -90,20 +91,31 @@
 }
 
 impl AttemptGuard {
-    fn start(
+    /// Counts an attempt at `endpoint`, which is known without a choice.
+    pub fn start(
         context: &Arc<ForwardContext>,
         now: TimePoint,
         call: &InboundCall,
         endpoint: ChosenEndpoint,
+    ) -> Self {
+        Self::reserve(context, &mut context.state(), now, call, endpoint)
+    }
+
+    /// Counts an attempt at `endpoint`, which was chosen by the same `state`: between a choice and a
+    /// count under another lock, other calls would take the same place.
+    pub fn reserve(
+        context: &Arc<ForwardContext>,
+        state: &mut EntryState,
+        now: TimePoint,
+        call: &InboundCall,
+        endpoint: ChosenEndpoint,
     ) -> Self {
         let work_ms = endpoint.prefill.work_ms;
-        let mut state = context.state();
         state.start_attempt(now, &endpoint.id, work_ms);
         state.claim_capacity(now, &endpoint);
         if state.is_warming(&endpoint.id) {
             context.metrics.record_warming_call(call);
         }
-        drop(state);
         context.load_exchange.notify_changed();
         Self {
             context: Arc::clone(context),
@@ -199,19 +211,18 @@
     }
 }
 
-/// Sends `call` to `endpoint` and waits up to `timeout` for a valid response head.
+/// Sends `call` to the endpoint of `guard` and waits up to `timeout` for a valid response head.
 ///
 /// # Errors
 /// [`AttemptFailure`], which tells whether the call may have run.
 pub async fn send_attempt(
     context: &Arc<ForwardContext>,
     call: &InboundCall,
-    endpoint: ChosenEndpoint,
+    mut guard: AttemptGuard,
     model: Option<&str>,
     resume_after: Option<u64>,
     timeout: Duration,
 ) -> Result<EndpointResponse, AttemptFailure> {
-    let mut guard = AttemptGuard::start(context, clock::now(), call, endpoint);
     let meter = CurrentMeter::default();
     let sending = send_call(
         context,
--- a/crates/entry/src/forward/capacity.rs
+++ b/crates/entry/src/forward/capacity.rs
@@ -5,9 +5,8 @@
 use std::time::Duration;
 
 use chestnutloft_core::routing::{
-    CapacityClaim, EndpointCapacity, EndpointHash, ModelLane, PaceReading, PrefixHash, ServiceRule,
-    SpeedSample, TimedCandidate, TimedRequest, UsageSum, endpoint_hash, select_by_time,
-    speed_sample,
+    CapacityClaim, EndpointCapacity, EndpointHash, ModelLane, PaceReading, PrefixHash, SpeedSample,
+    TimedCandidate, TimedRequest, UsageSum, endpoint_hash, select_by_time, speed_sample,
 };
 use chestnutloft_core::time::TimePoint;
 
@@ -24,6 +23,7 @@
 pub struct PaceNews {
     readings: Vec<(TimePoint, PaceReading)>,
     samples: Vec<SpeedSample>,
+    prefills: Vec<SpeedSample>,
 }
 
 impl PaceNews {
@@ -51,6 +51,17 @@
         readings.map(aged).collect()
     }
 
+    fn add_prefill(&mut self, sample: SpeedSample) {
+        if self.prefills.len() < MAX_NEWS {
+            self.prefills.push(sample);
+        }
+    }
+
+    /// Takes the measured times of prompts.
+    pub fn take_prefills(&mut self) -> Vec<SpeedSample> {
+        std::mem::take(&mut self.prefills)
+    }
+
     /// Takes the samples.
     pub fn take_samples(&mut self) -> Vec<SpeedSample> {
         std::mem::take(&mut self.samples)
@@ -115,6 +126,21 @@
         self.pace_news.add_sample(sample);
     }
 
+    /// Records the usual time until the answer to a call began that did not wait.
+    pub(super) fn record_prefill(&mut self, prefill: &PrefillEstimate, took: Duration) {
+        let tokens = prefill.uncached_tokens;
+        let sample = self
+            .prefill_profile
+            .sample(prefill.model_hash, tokens, took);
+        self.pace_news.add_prefill(sample);
+    }
+
+    /// Usual time to process `tokens` tokens of a prompt, in milliseconds.
+    pub(super) fn prefill_ms(&self, model_hash: u64, tokens: f64) -> f64 {
+        let measured = self.prefill_profile.prefill_ms(model_hash, tokens);
+        measured.unwrap_or_else(|| self.prefill_work.prefill_ms(model_hash, tokens))
+    }
+
     /// Counts the call at its endpoint, which will have the call's prompt prefix cached.
     pub fn claim_capacity(&mut self, now: TimePoint, endpoint: &ChosenEndpoint) {
         if let Some(claim) = endpoint.claim {
@@ -149,17 +175,17 @@
     ) -> Result<ChosenEndpoint, NoEndpoint> {
         let claim = capacity_claim(request);
         let holders = self.prefix_holders(now, &request.prompt);
-        let (with_room, candidates): (Vec<&EndpointState>, Vec<TimedCandidate<'_>>) = endpoints
-            .iter()
-            .map(|endpoint| (*endpoint, self.timed_candidate(now, endpoint, &holders)))
-            .filter(|(_, candidate)| has_room(candidate, request.service, claim))
-            .unzip();
         let timed_request = self.timed_request(request);
         let settings = if request.service.engine.is_some() {
             &self.capacity.placement
         } else {
             &self.capacity.plain_placement
         };
+        let (with_room, candidates): (Vec<&EndpointState>, Vec<TimedCandidate<'_>>) = endpoints
+            .iter()
+            .map(|endpoint| (*endpoint, self.timed_candidate(now, endpoint, &holders)))
+            .filter(|(_, candidate)| self.has_room(candidate, request, claim))
+            .unzip();
         let chosen =
             select_by_time(settings, &timed_request, &candidates).ok_or(NoEndpoint::Full)?;
         let candidate = &candidates[chosen];
@@ -172,9 +198,27 @@
         Ok(ChosenEndpoint::new(notice, prefill, Some(claim)))
     }
 
+    /// Whether the endpoint may take a call with `claim`. Plain services have no such bound: their
+    /// calls end sooner than entries can tell each other of them.
+    fn has_room(
+        &self,
+        candidate: &TimedCandidate<'_>,
+        request: &SelectionRequest<'_>,
+        claim: CapacityClaim,
+    ) -> bool {
+        request.service.engine.as_ref().is_none_or(|engine| {
+            let reserve = &self.capacity.reserve;
+            let capacity = EndpointCapacity {
+                places: reserve.places(candidate.slots, request.limits.rank()),
+                tokens: engine.kv_tokens as f64,
+            };
+            capacity.has_room(candidate.usage, claim)
+        })
+    }
+
     fn timed_request(&self, request: &SelectionRequest<'_>) -> TimedRequest {
         let prompt = &request.prompt;
-        let prefill_ms = |tokens| self.prefill_work.prefill_ms(prompt.model_hash, tokens);
+        let prefill_ms = |tokens| self.prefill_ms(prompt.model_hash, tokens);
         TimedRequest {
             call_hash: request.session,
             prefix_ms: prefill_ms(prompt.prefix_tokens),
@@ -209,18 +253,6 @@
     }
 }
 
-/// Whether the endpoint may take a call with `claim`. Plain services have no such bound: their
-/// calls end sooner than entries can tell each other of them.
-fn has_room(candidate: &TimedCandidate<'_>, service: &ServiceRule, claim: CapacityClaim) -> bool {
-    service.engine.as_ref().is_none_or(|engine| {
-        let capacity = EndpointCapacity {
-            slots: candidate.slots,
-            tokens: engine.kv_tokens as f64,
-        };
-        capacity.has_room(candidate.usage, claim)
-    })
-}
-
 fn capacity_claim(request: &SelectionRequest<'_>) -> CapacityClaim {
     CapacityClaim {
         is_large: request.lane == ModelLane::Large,
--- a/crates/entry/src/forward/choice.rs
+++ b/crates/entry/src/forward/choice.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use chestnutloft_core::admission::CapacityLimits;
 use chestnutloft_core::hash::key_hash;
 use chestnutloft_core::routing::{
     CapacityClaim, EndpointCandidate, EndpointNotice, EndpointPhase, EndpointRateLimiter,
@@ -45,6 +46,8 @@
     pub output_tokens: f64,
     /// Longest pause between events that the caller accepts.
     pub max_pause: Duration,
+    /// How far the call may fill endpoints.
+    pub limits: CapacityLimits,
 }
 
 /// Size of a prompt, in tokens of one model.
@@ -296,12 +299,8 @@
         let placement_request = PlacementRequest {
             domain: &self.domain,
             prefix_key: request.prompt.prefix_hash,
-            prefix_ms: self
-                .prefill_work
-                .prefill_ms(request.prompt.model_hash, request.prompt.prefix_tokens),
-            suffix_ms: self
-                .prefill_work
-                .prefill_ms(request.prompt.model_hash, request.prompt.suffix_tokens),
+            prefix_ms: self.prefill_ms(request.prompt.model_hash, request.prompt.prefix_tokens),
+            suffix_ms: self.prefill_ms(request.prompt.model_hash, request.prompt.suffix_tokens),
             lane: request.lane,
         };
         let chosen = select_endpoint(&self.placement, &placement_request, &candidates)
@@ -329,9 +328,7 @@
             model_hash: prompt.model_hash,
             prefix_hash: prompt.prefix_hash,
             uncached_tokens,
-            work_ms: self
-                .prefill_work
-                .prefill_ms(prompt.model_hash, uncached_tokens),
+            work_ms: self.prefill_ms(prompt.model_hash, uncached_tokens),
             ..PrefillEstimate::default()
         }
     }
--- a/crates/entry/src/forward/copy_choice.rs
+++ b/crates/entry/src/forward/copy_choice.rs
@@ -192,9 +192,7 @@
         if loss_probability <= 0.0 {
             return None;
         }
-        let prefill_ms = state
-            .prefill_work
-            .prefill_ms(prompt.model_hash, prompt.total_tokens());
+        let prefill_ms = state.prefill_ms(prompt.model_hash, prompt.total_tokens());
         let queue_delay = state.pool_load(now, &service.name).queue_delay;
         let outlook = RunOutlook {
             is_leaving: state.is_run_leaving(endpoint),
--- a/crates/entry/src/forward/escalation.rs
+++ b/crates/entry/src/forward/escalation.rs
@@ -6,7 +6,7 @@
 
 use chestnutloft_core::execution::AttemptEnd;
 use chestnutloft_core::routing::{
-    CallTokens, EscalationCandidate, EscalationPolicy, EscalationSettings,
+    CallTokens, EscalationCandidate, EscalationPolicy, EscalationSettings, FirstDelays, PoolLoad,
 };
 use chestnutloft_core::time::TimePoint;
 use chestnutloft_wire::clock;
@@ -62,12 +62,14 @@
         let policy = EscalationPolicy::new(self.escalation_settings(), self.model_costs());
         let pool = self.context.state().pool_load(now, &self.call.service.name);
         let confidence = response.head.confidence;
+        let largest = self.call.route.models.len().saturating_sub(1);
         let candidate = EscalationCandidate {
             model_index: self.model_index,
             confidence,
             tokens: self.tokens(),
             elapsed: now.since(self.call.received_at),
             target_latency: self.call.latency_target(),
+            expected_delay: self.expected_delay(largest, pool),
         };
         let next = policy.next_model(&candidate, pool)?;
         if self.attempts >= self.call.route.max_attempts
@@ -90,16 +92,55 @@
         Some(next)
     }
 
+    /// Starts with the largest model if there is no time to ask the smallest one first.
+    pub(super) fn choose_first_model(&mut self, now: TimePoint) {
+        let models = self.call.route.models.len();
+        let is_model_free = self.call.head.model == RequestedModel::Any && models > 1;
+        if !is_model_free || !self.is_capacity_managed() {
+            return;
+        }
+        let policy = EscalationPolicy::new(self.escalation_settings(), self.model_costs());
+        let pool = self.context.state().pool_load(now, &self.call.service.name);
+        let delays = FirstDelays {
+            smallest: self.expected_delay(0, pool),
+            largest: self.expected_delay(models - 1, pool),
+            target_latency: self.call.latency_target(),
+        };
+        self.model_index = policy.first_model(&delays, pool);
+        if self.model_index > 0 {
+            spdlog::info!(
+                "call {}: starting with model index {}, since its answer is expected after {} ms and that of the smallest model after {} ms.",
+                self.call.head.id,
+                self.model_index,
+                delays.largest.as_millis(),
+                delays.smallest.as_millis()
+            );
+        }
+    }
+
+    /// Expected time until the answer of the model begins; zero where capacity is not managed. The
+    /// shared prefix counts as cached.
+    fn expected_delay(&self, model_index: usize, pool: PoolLoad) -> Duration {
+        if !self.is_capacity_managed() {
+            return Duration::ZERO;
+        }
+        let prompt = self.prompt_for(model_index);
+        let state = self.context.state();
+        let prefill_ms = state.prefill_ms(prompt.model_hash, prompt.suffix_tokens);
+        pool.queue_delay + Duration::from_secs_f64(prefill_ms / 1_000.0)
+    }
+
     /// Settings by which the call is escalated.
     fn escalation_settings(&self) -> EscalationSettings {
         let settings = self.context.escalation.clone();
         if !self.is_capacity_managed() {
             return settings;
         }
-        let state = self.context.state();
+        let rank = self.class_rank();
+        let bounds = self.context.state().capacity.escalation_load.of_rank(rank);
         EscalationSettings {
-            busy_load: state.capacity.busy_load,
-            full_load: state.capacity.full_load,
+            busy_load: bounds.busy,
+            full_load: bounds.full,
             ..settings
         }
     }
--- a/crates/entry/src/forward/outcomes.rs
+++ b/crates/entry/src/forward/outcomes.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use chestnutloft_core::routing::{
-    ArmCount, ArmKey, EndpointPhase, EndpointProcess, LoadSummary, WaitingWork, WarmupCause,
-    endpoint_hash,
+    ArmCount, ArmKey, EndpointPhase, EndpointProcess, LoadSummary, QueueState, WaitingWork,
+    WarmupCause, endpoint_hash,
 };
 use chestnutloft_core::time::TimePoint;
 
@@ -58,6 +58,9 @@
             self.record_speed(now, endpoint, took);
         }
         let took = prefill.usual_time(took);
+        if endpoint.claim.is_some() && prefill.queue_state() == QueueState::Idle {
+            self.record_prefill(prefill, took);
+        }
         self.queue_delays
             .record_delay(now, &endpoint.id, prefill.work_ms, took);
         self.prefill_work.record(
@@ -96,6 +99,7 @@
             usage: self.ledger.report(),
             paces: self.pace_news.take_readings(now),
             speeds: self.pace_news.take_samples(),
+            prefills: self.pace_news.take_prefills(),
             prefixes: self.prefixes.take_news(),
             answers: self.slow_start.answers(now),
         }
@@ -109,6 +113,7 @@
         self.ledger.set_peers(now, &peers.usage);
         self.paces.merge(now, &peers.paces);
         self.speeds.set(&peers.speeds);
+        self.prefill_profile.set(&peers.prefills);
         self.prefixes.merge(now, &peers.prefixes);
         self.merge_answers(now, &peers.answers);
         let leaving = self.leaving.merge(now, &peers.leaving);
--- a/crates/entry/src/forward/pipeline.rs
+++ b/crates/entry/src/forward/pipeline.rs
@@ -7,7 +7,7 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 
-use chestnutloft_core::admission::StreamAlternative;
+use chestnutloft_core::admission::{CapacityLimits, StreamAlternative};
 use chestnutloft_core::execution::AttemptEnd;
 use chestnutloft_core::hash::key_hash;
 use chestnutloft_core::routing::{BodyDirection, CallKind, ModelLane, SegmentAdmission};
@@ -15,7 +15,7 @@
 use chestnutloft_wire::clock;
 use chestnutloft_wire::http::{AnyBody, full};
 
-use super::attempt::{AttemptFailure, EndpointResponse, send_attempt};
+use super::attempt::{AttemptFailure, AttemptGuard, EndpointResponse, send_attempt};
 use super::body_memory::BodyReadError;
 use super::choice::{ChosenEndpoint, NoEndpoint, PromptSize, SelectionRequest, prefix_hash};
 use super::codec::{CallRefusal, RequestedModel};
@@ -156,8 +156,12 @@
 
     /// Model chosen by the entry; `None` where the caller leaves it no choice.
     pub fn model(&self) -> Option<Arc<str>> {
+        self.model_at(self.model_index)
+    }
+
+    fn model_at(&self, index: usize) -> Option<Arc<str>> {
         match self.call.head.model {
-            RequestedModel::Any => self.call.route.models.get(self.model_index).cloned(),
+            RequestedModel::Any => self.call.route.models.get(index).cloned(),
             _ => None,
         }
     }
@@ -165,6 +169,7 @@
     async fn run(mut self) -> Response<AnyBody> {
         // A server error that is returned if no later attempt yields a better response.
         let mut fallback: Option<Response<AnyBody>> = None;
+        self.choose_first_model(clock::now());
         loop {
             let response = match self.next_step(&mut fallback).await {
                 CallStep::Continue => continue,
@@ -188,11 +193,11 @@
 
     /// Makes the next attempt.
     async fn next_step(&mut self, fallback: &mut Option<Response<AnyBody>>) -> CallStep {
-        let endpoint = match self.choose_endpoint().await {
-            Ok(endpoint) => endpoint,
+        let guard = match self.choose_endpoint().await {
+            Ok(guard) => guard,
             Err(refusal) => return CallStep::End(refusal),
         };
-        match self.attempt(endpoint, self.call.head.resume_after).await {
+        match self.attempt(guard, self.call.head.resume_after).await {
             Ok(response) if self.is_answer_stream(&response) => {
                 self.discard_held_answer();
                 let response = self.try_escalate(response);
@@ -219,7 +224,12 @@
         self.call.route.kind.is_stream() && response.parts.status.is_success()
     }
 
-    pub(super) fn choose_now(&self, now: TimePoint) -> Result<ChosenEndpoint, NoEndpoint> {
+    /// Chooses an endpoint and counts the attempt there.
+    pub(super) fn choose_now(
+        &self,
+        now: TimePoint,
+        limits: CapacityLimits,
+    ) -> Result<AttemptGuard, NoEndpoint> {
         let request = SelectionRequest {
             service: &self.call.service,
             session: self.call.session_key(),
@@ -228,8 +238,14 @@
             tried: &self.tried,
             output_tokens: self.expected_output_tokens(),
             max_pause: self.call.target_gap(),
+            limits,
         };
-        self.context.state().choose(now, &request)
+        let mut state = self.context.state();
+        let endpoint = state.choose(now, &request)?;
+        let (context, call) = (&self.context, &self.call);
+        Ok(AttemptGuard::reserve(
+            context, &mut state, now, call, endpoint,
+        ))
     }
 
     /// Group of endpoints preferred for the current model. Calls are separated by model size only
@@ -254,7 +270,12 @@
 
     /// Size of the prompt. All segments but the last form the prefix that other calls share.
     pub(super) fn prompt(&self) -> PromptSize {
-        let model = self.model();
+        self.prompt_for(self.model_index)
+    }
+
+    /// Size of the prompt for one of the route's models.
+    pub(super) fn prompt_for(&self, model_index: usize) -> PromptSize {
+        let model = self.model_at(model_index);
         let model = model.as_deref().unwrap_or(&self.call.route.name);
         let model_hash = key_hash(model.as_bytes());
         let Some((suffix, prefix)) = self.call.head.prompt.split_last() else {
@@ -272,13 +293,14 @@
         }
     }
 
-    /// Makes one attempt at `endpoint`. Records a failure and applies it to the call.
+    /// Makes the attempt that `guard` counts. Records a failure and applies it to the call.
     pub async fn attempt(
         &mut self,
-        endpoint: ChosenEndpoint,
+        guard: AttemptGuard,
         resume_after: Option<u64>,
     ) -> Result<EndpointResponse, AttemptFailure> {
         let now = clock::now();
+        let endpoint = guard.endpoint.clone();
         let prefill = &endpoint.prefill;
         let timeout = self.response_timeout(now, prefill.expected_delay());
         spdlog::info!(
@@ -302,7 +324,7 @@
         let sending = send_attempt(
             &self.context,
             &self.call,
-            endpoint.clone(),
+            guard,
             model.as_deref(),
             resume_after,
             timeout,
--- a/crates/entry/src/forward/relay.rs
+++ b/crates/entry/src/forward/relay.rs
@@ -13,8 +13,7 @@
 
 use crate::sse::EventSplitter;
 
-use super::attempt::{AttemptFailure, EndpointResponse};
-use super::choice::ChosenEndpoint;
+use super::attempt::{AttemptFailure, AttemptGuard, EndpointResponse};
 use super::pipeline::CallExecution;
 use super::run_copies::{CopyContinuation, RunCopies};
 use super::segments::PROGRESS_EVENTS;
@@ -37,6 +36,7 @@
     pub(super) event_count: u64,
     gap_sample_start: GapSampleStart,
     pub(super) progress: AnswerProgress,
+    timing: EventTiming,
     pub(super) copies: RunCopies,
     /// Whether the current endpoint may take until the deadline, since no other one can resume the
     /// stream.
@@ -53,6 +53,23 @@
     event_count: u64,
 }
 
+/// When the events of the whole stream arrived, for the log.
+#[derive(Clone, Copy, Debug, Default)]
+struct EventTiming {
+    first_at: Option<TimePoint>,
+    last_at: Option<TimePoint>,
+    longest_pause: Duration,
+}
+
+impl EventTiming {
+    fn record(&mut self, now: TimePoint) {
+        self.first_at.get_or_insert(now);
+        let pause = self.last_at.map_or(Duration::ZERO, |at| now.since(at));
+        self.longest_pause = self.longest_pause.max(pause);
+        self.last_at = Some(now);
+    }
+}
+
 /// How far the current endpoint's answer has got.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct AnswerProgress {
@@ -94,6 +111,7 @@
             event_count: 0,
             gap_sample_start: GapSampleStart::default(),
             progress: AnswerProgress::default(),
+            timing: EventTiming::default(),
             copies: RunCopies::default(),
             waits_until_deadline: false,
             silence,
@@ -217,6 +235,7 @@
         loop {
             let events = self.take_events();
             if !events.is_empty() {
+                self.timing.record(clock::now());
                 self.record_event_gap();
                 self.record_progress();
                 return StreamRead::Events(events);
@@ -257,17 +276,21 @@
             let now = clock::now();
             self.copies.end_with_run();
             let execution = &self.execution;
+            let received_at = execution.call.received_at;
+            let first_event = self.timing.first_at.unwrap_or(now).since(received_at);
             execution.record_progress(self.progress.began_at.unwrap_or(now));
             execution
                 .context
                 .metrics
                 .record_full_response(now, &execution.call);
             spdlog::info!(
-                "call {}: stream from endpoint {} completed after {} events, {} ms after the call was received.",
+                "call {}: stream from endpoint {} completed after {} events, {} ms after the call was received; first event after {} ms, longest pause {} ms.",
                 execution.call.head.id,
                 response.guard.endpoint.id,
                 self.event_count,
-                now.since(execution.call.received_at).as_millis()
+                now.since(execution.call.received_at).as_millis(),
+                first_event.as_millis(),
+                self.timing.longest_pause.as_millis()
             );
             response.release(now);
         }
@@ -347,7 +370,7 @@
     }
 
     /// Chooses another endpoint to resume the stream at.
-    async fn choose_next_endpoint(&mut self) -> Result<ChosenEndpoint, String> {
+    async fn choose_next_endpoint(&mut self) -> Result<AttemptGuard, String> {
         if !self.can_resume() {
             return Err("the stream is not resumable or its attempts are used up".to_owned());
         }
@@ -360,7 +383,7 @@
 
     /// Resumes the stream after the last event that the caller has, at the endpoint `next` or, if
     /// that fails, at another one.
-    async fn resume(&mut self, mut next: Result<ChosenEndpoint, String>) -> Result<(), String> {
+    async fn resume(&mut self, mut next: Result<AttemptGuard, String>) -> Result<(), String> {
         loop {
             match self.execution.attempt(next?, self.last_id).await {
                 Ok(response) if response.parts.status.is_success() => {
--- a/crates/entry/src/forward/run_copies.rs
+++ b/crates/entry/src/forward/run_copies.rs
@@ -13,7 +13,7 @@
 use chestnutloft_core::time::TimePoint;
 use chestnutloft_wire::clock;
 
-use super::attempt::{AttemptFailure, EndpointResponse};
+use super::attempt::{AttemptFailure, AttemptGuard, EndpointResponse};
 use super::choice::ChosenEndpoint;
 use super::copy_calls::{CopyGuard, RunCopyEvent};
 use super::relay::{AnswerProgress, StreamRelay};
@@ -226,7 +226,10 @@
     async fn attempt_from(&mut self, copy: &CopyGuard, endpoint: &ChosenEndpoint) -> CopyAttempt {
         let links = &mut self.execution.call.copies;
         links.source = Some((Arc::clone(copy.address()), copy.handle().to_owned()));
-        let outcome = self.execution.attempt(endpoint.clone(), self.last_id).await;
+        let execution = &mut self.execution;
+        let (context, call) = (&execution.context, &execution.call);
+        let guard = AttemptGuard::start(context, clock::now(), call, endpoint.clone());
+        let outcome = execution.attempt(guard, self.last_id).await;
         self.execution.call.copies.source = None;
         match outcome {
             Ok(response) if response.parts.status.is_success() => {
--- a/crates/entry/src/forward/settings.rs
+++ b/crates/entry/src/forward/settings.rs
@@ -6,8 +6,10 @@
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, DurationSecondsWithFrac, serde_as};
 
+use chestnutloft_core::admission::ClassReserve;
 use chestnutloft_core::routing::{
-    EscalationSettings, PlacementSettings, QueueDelaySettings, TimedPlacementSettings,
+    ClassLoadBounds, EscalationSettings, PlacementSettings, QueueDelaySettings,
+    TimedPlacementSettings,
 };
 use chestnutloft_wire::settings::SettingsFinding;
 
@@ -62,12 +64,11 @@
     pub placement: TimedPlacementSettings,
     /// The same for services without engines.
     pub plain_placement: TimedPlacementSettings,
-    /// Load of the pool, as a fraction of its slots, above which escalations become dearer where
-    /// capacity is managed: the ledger counts the calls of all entries, and calls that wait would
-    /// take the place of an escalated one.
-    pub busy_load: f64,
-    /// Load from which calls are no longer escalated there.
-    pub full_load: f64,
+    /// Load of the pool at which escalations become dearer and stop, by the class of the call, where
+    /// capacity is managed.
+    pub escalation_load: ClassLoadBounds,
+    /// Places at endpoints that are kept for more urgent classes.
+    pub reserve: ClassReserve,
 }
 
 impl Default for CapacitySettings {
@@ -76,8 +77,8 @@
             is_ordered: false,
             placement: TimedPlacementSettings::default(),
             plain_placement: TimedPlacementSettings::plain(),
-            busy_load: 0.6,
-            full_load: 1.125,
+            escalation_load: ClassLoadBounds::default(),
+            reserve: ClassReserve::default(),
         }
     }
 }
--- a/crates/entry/src/forward/state.rs
+++ b/crates/entry/src/forward/state.rs
@@ -5,14 +5,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use chestnutloft_core::admission::{ClassRank, PriorityClass};
 use chestnutloft_core::routing::{
     ArmCount, ArmKey, CapacityLedger, EndpointNotice, EndpointPhase, EndpointProcess,
     EndpointRateLimiter, EndpointRest, EventGapReport, EventGapTracker, HealthSettings, IdleGap,
-    LeavingEndpoints, PaceReadings, PlacementSettings, PoolHealth, PrefillTimeEstimator,
-    PrefixDirectory, QueueDelayEstimator, RolloutStage, RolloutState, RouteDeclaration, RouteTable,
-    RoutingRevision, RoutingUpdate, SegmentAdmission, SegmentKnowledge, ServiceRetryBudget,
-    ServiceRetrySettings, SessionVersions, SlowStartControl, SpeedMeans, StatedLimits,
-    TerminationHistory, WarmupCause, endpoint_hash,
+    LeavingEndpoints, PaceReadings, PlacementSettings, PoolHealth, PrefillProfile,
+    PrefillTimeEstimator, PrefixDirectory, QueueDelayEstimator, RolloutStage, RolloutState,
+    RouteDeclaration, RouteTable, RoutingRevision, RoutingUpdate, SegmentAdmission,
+    SegmentKnowledge, ServiceRetryBudget, ServiceRetrySettings, SessionVersions, SlowStartControl,
+    SpeedMeans, StatedLimits, TerminationHistory, WarmupCause, endpoint_hash,
 };
 use chestnutloft_core::time::TimePoint;
 
@@ -80,6 +81,8 @@
     pub(super) paces: PaceReadings,
     /// How long work usually takes at endpoints, against the pool.
     pub(super) speeds: SpeedMeans,
+    /// Time to process prompts at managed services.
+    pub(super) prefill_profile: PrefillProfile,
     /// Endpoints that have prompt prefixes cached.
     pub(super) prefixes: PrefixDirectory,
     /// Readings and comparisons that the other entries have not been told yet.
@@ -148,6 +151,7 @@
             ledger: CapacityLedger::default(),
             paces: PaceReadings::default(),
             speeds: SpeedMeans::default(),
+            prefill_profile: PrefillProfile::default(),
             prefixes: PrefixDirectory::default(),
             pace_news: PaceNews::default(),
             paced_services: BTreeSet::new(),
@@ -374,6 +378,16 @@
         self.is_placed_by_time(service) && rule.is_some_and(|rule| rule.engine.is_some())
     }
 
+    /// Rank of `class` among those of `service`, where its capacity is managed. Elsewhere all calls
+    /// are alike.
+    pub fn class_rank(&self, service: &str, class: PriorityClass) -> ClassRank {
+        if self.is_capacity_managed(service) {
+            self.table.class_rank(service, class)
+        } else {
+            ClassRank::MOST_URGENT
+        }
+    }
+
     /// Whether the endpoints of `service` are chosen by expected time.
     pub fn is_placed_by_time(&self, service: &str) -> bool {
         self.capacity.is_ordered || self.paced_services.contains(service)
--- a/crates/entry/tests/slow_start.rs
+++ b/crates/entry/tests/slow_start.rs
@@ -114,6 +114,7 @@
         tried: &tried,
         output_tokens: 0.0,
         max_pause: std::time::Duration::from_secs(2),
+        limits: chestnutloft_core::admission::CapacityLimits::LastResort,
     };
     state.choose(at(millis), &request)
 }
--- a/crates/entry/tests/state.rs
+++ b/crates/entry/tests/state.rs
@@ -120,6 +120,7 @@
         tried: &tried,
         output_tokens: 0.0,
         max_pause: std::time::Duration::from_secs(2),
+        limits: chestnutloft_core::admission::CapacityLimits::LastResort,
     };
     state.choose(now, &request)
 }
