Judge late answers of warming endpoints by their expected delay

Cause: under a shortage, answers of healthy endpoints begin after the latency target of their call, since all places are taken or prompts are long. Slow start counted each of them as bad, as it did a rejection for lack of room: the limit fell back to single probes, with pauses of up to 8 s, and so took places from a pool that had too few. A probe counted as bad after 2 s, however long its prompt. In a crowded pool, three such falls ended the raised limit.

Change: an answer past its target is bad only if it also took more than twice PrefillEstimate::expected_delay; a probe is late after 2 s or twice what was expected when it was sent. A rejection halves the limit, once in 100 ms, and leaves the raised limit of a crowded pool; at the floor it has the pause of a bad answer, as before. AnswerCount carries rejections, so earlier builds cannot exchange load with this one.

--- a/crates/core/src/routing/answer_counts.rs
+++ b/crates/core/src/routing/answer_counts.rs
@@ -24,8 +24,10 @@
     pub epoch: u64,
     /// Answers that began in time.
     pub sound: u32,
-    /// Answers that were late, failed or rejected the call.
+    /// Answers that were late or failed.
     pub bad: u32,
+    /// Calls that were rejected for lack of room.
+    pub rejected: u32,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -33,6 +35,7 @@
     received_at: TimePoint,
     sound: u32,
     bad: u32,
+    rejected: u32,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -40,6 +43,7 @@
     epoch: u64,
     sound: u32,
     bad: u32,
+    rejected: u32,
     heard: HashMap<Arc<str>, HeardCount>,
 }
 
@@ -48,6 +52,7 @@
         if let Some(heard) = self.heard.remove(entry) {
             self.sound = self.sound.saturating_sub(heard.sound);
             self.bad = self.bad.saturating_sub(heard.bad);
+            self.rejected = self.rejected.saturating_sub(heard.rejected);
         }
     }
 
@@ -64,10 +69,12 @@
         self.remove(entry);
         self.sound = self.sound.saturating_add(count.sound);
         self.bad = self.bad.saturating_add(count.bad);
+        self.rejected = self.rejected.saturating_add(count.rejected);
         let heard = HeardCount {
             received_at: now,
             sound: count.sound,
             bad: count.bad,
+            rejected: count.rejected,
         };
         self.heard.insert(Arc::clone(entry), heard);
     }
@@ -92,6 +99,9 @@
             epoch: self.epoch,
             sound: self.sound.saturating_sub(own.map_or(0, |own| own.sound)),
             bad: self.bad.saturating_sub(own.map_or(0, |own| own.bad)),
+            rejected: self
+                .rejected
+                .saturating_sub(own.map_or(0, |own| own.rejected)),
         })
     }
 }
--- a/crates/core/src/routing/endpoint_warmup.rs
+++ b/crates/core/src/routing/endpoint_warmup.rs
@@ -20,6 +20,26 @@
 struct Answers {
     sound: u32,
     bad: u32,
+    rejected: u32,
+}
+
+/// What an answer says of its endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum AnswerKind {
+    /// It began in time.
+    Sound,
+    /// It was late or failed.
+    Bad,
+    /// The endpoint rejected the call for lack of room.
+    Rejected,
+}
+
+/// A call that an entry sent while the limit was at the floor.
+#[derive(Clone, Copy, Debug)]
+struct Probe {
+    sent_at: TimePoint,
+    /// Time after which it counts as bad if it has no answer.
+    late_after: Duration,
 }
 
 /// A warm-up in progress.
@@ -32,11 +52,15 @@
     /// Time of the last bad answer, and the pause that follows it.
     fell: Option<(TimePoint, Duration)>,
     falls: u32,
+    /// Those of them that late or failed answers caused.
+    bad_falls: u32,
     /// Whether a sound answer has come since the last bad one.
     has_sound: bool,
     evidence_at: TimePoint,
-    /// When this entry sent a call to which no answer has been recorded, with the limit at the floor.
-    probe_at: Option<TimePoint>,
+    /// When a rejection last halved the limit.
+    halved_at: Option<TimePoint>,
+    /// The latest probe of this entry to which no answer has been recorded.
+    probe: Option<Probe>,
 }
 
 impl WarmingState {
@@ -44,9 +68,9 @@
         self.growth.limit()
     }
 
-    /// Number of times that the limit fell back.
-    pub(super) fn falls(&self) -> u32 {
-        self.falls
+    /// Number of times that a late or failed answer made the limit fall back.
+    pub(super) fn bad_falls(&self) -> u32 {
+        self.bad_falls
     }
 
     /// Whether the endpoint gets no calls because of a bad answer, for at most `max_pause`.
@@ -70,6 +94,25 @@
         WarmupEvent::FellBack { limit, pause }
     }
 
+    /// Whether rejections belong to calls that were sent before the limit was last halved.
+    fn is_in_rejection_window(&self, now: TimePoint, settings: &SlowStartSettings) -> bool {
+        let is_recent = |at| now.since(at) < settings.rejection_window;
+        self.halved_at.is_some_and(is_recent)
+    }
+
+    /// Halves the limit after a rejection. At the floor there is nothing to halve, and the endpoint gets
+    /// no calls for a while, as after a bad answer.
+    fn reject(&mut self, now: TimePoint, settings: &SlowStartSettings) -> Option<WarmupEvent> {
+        if self.growth.limit() <= settings.floor_calls {
+            return Some(self.fall(now, settings));
+        }
+        let limit = (self.growth.limit() / 2).max(settings.floor_calls);
+        self.growth.fall_to(limit);
+        self.halved_at = Some(now);
+        self.healthy_since = self.healthy_since.max(now);
+        None
+    }
+
     /// Applies new answers. During a pause they belong to calls that were sent before it.
     fn apply(
         &mut self,
@@ -82,8 +125,16 @@
         }
         self.evidence_at = now;
         if new.bad > 0 {
+            self.bad_falls += 1;
             return Some(self.fall(now, settings));
         }
+        let is_rejected = new.rejected > 0 && !self.is_in_rejection_window(now, settings);
+        if is_rejected {
+            return self.reject(now, settings);
+        }
+        if new.sound == 0 {
+            return None;
+        }
         self.has_sound = true;
         for _ in 0..new.sound {
             if self.growth.is_full() {
@@ -96,7 +147,7 @@
 
     /// Whether the endpoint has its full share. Without any answer, only idle time counts.
     fn is_done(&self, now: TimePoint, settings: &SlowStartSettings) -> bool {
-        let is_idle = self.falls == 0 && self.probe_at.is_none();
+        let is_idle = self.falls == 0 && self.probe.is_none();
         let is_trusted = self.has_sound || is_idle;
         self.growth.is_full() || is_trusted && now >= self.healthy_since + settings.full_after
     }
@@ -203,9 +254,11 @@
             healthy_since: resume_at.max(now),
             fell: None,
             falls: 0,
+            bad_falls: 0,
             has_sound: false,
             evidence_at: now,
-            probe_at: None,
+            halved_at: None,
+            probe: None,
         };
         self.phase = WarmupPhase::Warming(warming);
     }
@@ -237,20 +290,20 @@
     pub(super) fn record_own(
         &mut self,
         now: TimePoint,
-        is_sound: bool,
+        kind: AnswerKind,
         settings: &SlowStartSettings,
     ) {
-        if is_sound {
+        if kind == AnswerKind::Sound {
             self.sound_at = Some(now);
         }
         if let WarmupPhase::Warming(warming) = &mut self.phase {
-            warming.probe_at = None;
+            warming.probe = None;
         }
         if self.is_reported(now, settings) {
-            let count = if is_sound {
-                &mut self.own.sound
-            } else {
-                &mut self.own.bad
+            let count = match kind {
+                AnswerKind::Sound => &mut self.own.sound,
+                AnswerKind::Bad => &mut self.own.bad,
+                AnswerKind::Rejected => &mut self.own.rejected,
             };
             *count = count.saturating_add(1);
         }
@@ -262,6 +315,7 @@
             epoch: self.epoch,
             sound: self.own.sound,
             bad: self.own.bad,
+            rejected: self.own.rejected,
         }
     }
 
@@ -291,6 +345,7 @@
         }
         self.peers.sound = self.peers.sound.max(sum.sound);
         self.peers.bad = self.peers.bad.max(sum.bad);
+        self.peers.rejected = self.peers.rejected.max(sum.rejected);
         is_entered
     }
 
@@ -303,10 +358,12 @@
         let total = Answers {
             sound: self.own.sound.saturating_add(self.peers.sound),
             bad: self.own.bad.saturating_add(self.peers.bad),
+            rejected: self.own.rejected.saturating_add(self.peers.rejected),
         };
         let new = Answers {
             sound: total.sound.saturating_sub(self.applied.sound),
             bad: total.bad.saturating_sub(self.applied.bad),
+            rejected: total.rejected.saturating_sub(self.applied.rejected),
         };
         self.applied = total;
         let WarmupPhase::Warming(warming) = &mut self.phase else {
@@ -328,20 +385,24 @@
         let WarmupPhase::Warming(warming) = &mut self.phase else {
             return None;
         };
-        warming.probe_at = warming.probe_at.filter(|_| has_calls);
-        let is_late = |at| now.since(at) >= settings.late_after;
-        if warming.probe_at.is_some_and(is_late) {
-            self.record_own(now, false, settings);
+        warming.probe = warming.probe.filter(|_| has_calls);
+        let is_late = |probe: Probe| now.since(probe.sent_at) >= probe.late_after;
+        if warming.probe.is_some_and(is_late) {
+            self.record_own(now, AnswerKind::Bad, settings);
             return self.apply(now, settings);
         }
         let is_done = warming.is_done(now, settings);
         if is_done { self.leave(now) } else { None }
     }
 
-    /// Records that this entry has sent a call while the limit was at the floor.
-    pub(super) fn record_probe(&mut self, now: TimePoint) {
+    /// Records that this entry has sent a call while the limit was at the floor, which is late
+    /// `late_after` from now.
+    pub(super) fn record_probe(&mut self, now: TimePoint, late_after: Duration) {
         if let WarmupPhase::Warming(warming) = &mut self.phase {
-            warming.probe_at = Some(now);
+            warming.probe = Some(Probe {
+                sent_at: now,
+                late_after,
+            });
         }
     }
 
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -91,7 +91,7 @@
 pub use sessions::{SessionHash, SessionVersions, VersionPreference, session_hash};
 pub use slow_start::{
     PoolWarmth, SlowStartControl, SlowStartSettings, WarmupCause, WarmupChange, WarmupEvent,
-    WarmupRequest, WarmupStart,
+    WarmupRequest, WarmupStart, max_sound_delay,
 };
 pub use state::{
     RoutingCommand, RoutingOutcome, RoutingRevision, RoutingState, RoutingUpdate, StoredDeclaration,
--- a/crates/core/src/routing/slow_start.rs
+++ b/crates/core/src/routing/slow_start.rs
@@ -13,7 +13,7 @@
 use crate::time::TimePoint;
 
 use super::answer_counts::AnswerCount;
-use super::endpoint_warmup::{EndpointWarmup, WarmupPhase};
+use super::endpoint_warmup::{AnswerKind, EndpointWarmup, WarmupPhase};
 use super::leaving_endpoints::EndpointProcess;
 use super::load_aggregation::EndpointHash;
 
@@ -22,12 +22,14 @@
 pub struct SlowStartSettings {
     /// Concurrent calls to an endpoint of which nothing is known, or whose last answer was bad.
     pub floor_calls: u32,
-    /// Growth of the limit. A bad answer always sets it back to the floor.
+    /// Growth of the limit. A bad answer always sets it back to the floor, a rejection for lack of room
+    /// halves it.
     pub growth: GrowthRule,
     /// Time without a bad answer after which an endpoint has its full share, whatever its limit:
     /// with little traffic, there is no further evidence to wait for.
     pub full_after: Duration,
-    /// Time after which a probe without an answer counts as bad. The callers with the shortest latency
+    /// Time after which a probe without an answer counts as bad, unless its answer is expected later.
+    /// The callers with the shortest latency
     /// target for a long prompt expect the first event by then.
     pub late_after: Duration,
     /// Time without any answer after which the next entry may probe: the entry whose turn it is may
@@ -37,6 +39,9 @@
     pub probe_pause: Duration,
     /// Longest such time; as long as the longest ejection.
     pub max_probe_pause: Duration,
+    /// Time after a rejection in which further ones change nothing: entries learn of a lower limit
+    /// with their next exchange, and calls sent until then may be rejected as well.
+    pub rejection_window: Duration,
     /// Bad answers after which a crowded pool no longer raises the limit of an endpoint.
     pub max_falls: u32,
     /// Share of warming endpoints above which a pool is crowded, which raises their limits.
@@ -63,6 +68,7 @@
             turn_time: Duration::from_secs(1),
             probe_pause: Duration::from_millis(250),
             max_probe_pause: Duration::from_secs(8),
+            rejection_window: Duration::from_millis(100),
             max_falls: 3,
             crowded_share: 1.0 / 3.0,
             probe_share: 0.2,
@@ -72,6 +78,17 @@
     }
 }
 
+/// Multiple of the expected delay up to which an answer past its latency target is in time: the
+/// expectation is that of a choice, and the load of other work on a machine changes about twice a
+/// second.
+const LATE_FACTOR: f64 = 2.0;
+
+/// Longest time until an answer begins that is not late: the latency target of its call, or longer
+/// if the call was expected to queue or to be processed for longer at its endpoint.
+pub fn max_sound_delay(target: Duration, expected: Duration) -> Duration {
+    target.max(expected.mul_f64(LATE_FACTOR))
+}
+
 /// Why an endpoint warms up.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WarmupCause {
@@ -132,7 +149,7 @@
     Entered(WarmupCause),
     /// The endpoint has its full share, this long after it began to warm up.
     Full(Duration),
-    /// A bad answer has set the limit back to the floor.
+    /// A bad answer has set the limit back to the floor, or a rejection found it there.
     FellBack {
         /// Limit before that.
         limit: u32,
@@ -241,14 +258,28 @@
         self.endpoints.contains_key(&endpoint)
     }
 
-    /// Records an answer of a process: sound if it began in time, bad if it was late, failed or
-    /// rejected the call.
+    /// Records an answer of a process: sound if it began in time (see [`max_sound_delay`]), bad if it
+    /// was late or failed.
     pub fn record(&mut self, now: TimePoint, process: EndpointProcess, is_sound: bool) {
+        let kind = if is_sound {
+            AnswerKind::Sound
+        } else {
+            AnswerKind::Bad
+        };
+        self.record_kind(now, process, kind);
+    }
+
+    /// Records that a process rejected a call for lack of room.
+    pub fn record_rejection(&mut self, now: TimePoint, process: EndpointProcess) {
+        self.record_kind(now, process, AnswerKind::Rejected);
+    }
+
+    fn record_kind(&mut self, now: TimePoint, process: EndpointProcess, kind: AnswerKind) {
         let warmup = self.endpoints.get_mut(&process.endpoint);
         let Some(warmup) = warmup.filter(|warmup| warmup.born_ms() == process.born_ms) else {
             return;
         };
-        warmup.record_own(now, is_sound, &self.settings);
+        warmup.record_own(now, kind, &self.settings);
         let event = warmup.apply(now, &self.settings);
         self.changes.extend(event.map(|event| warmup.change(event)));
     }
@@ -315,7 +346,7 @@
         if warming.is_paused(now, is_crowded.then_some(self.settings.probe_pause)) {
             return Some(0);
         }
-        let may_raise = warming.falls() < self.settings.max_falls;
+        let may_raise = warming.bad_falls() < self.settings.max_falls;
         let raised = f64::from(warmup.slots()) * raised_share;
         let raised = if may_raise { raised.ceil() as u32 } else { 0 };
         let limit = warming.limit().max(raised);
@@ -360,11 +391,18 @@
         self.probe_credits.get(service).copied().unwrap_or(1.0)
     }
 
-    /// Records a call to an endpoint of `service`.
-    pub fn record_call(&mut self, now: TimePoint, endpoint: EndpointHash, service: &Arc<str>) {
+    /// Records a call to an endpoint of `service`, whose answer is expected to begin after `expected`.
+    pub fn record_call(
+        &mut self,
+        now: TimePoint,
+        endpoint: EndpointHash,
+        service: &Arc<str>,
+        expected: Duration,
+    ) {
+        let late_after = max_sound_delay(self.settings.late_after, expected);
         let is_probe = self.is_probed(endpoint);
         if is_probe && let Some(warmup) = self.endpoints.get_mut(&endpoint) {
-            warmup.record_probe(now);
+            warmup.record_probe(now, late_after);
         }
         let cost = f64::from(u8::from(is_probe));
         let credit = self.probe_credit(service) + self.settings.probe_share - cost;
--- a/crates/core/tests/routing/main.rs
+++ b/crates/core/tests/routing/main.rs
@@ -26,6 +26,7 @@
 mod sessions;
 mod slow_start;
 mod slow_start_fleet;
+mod slow_start_shortage;
 mod state;
 mod table;
 mod timed_placement;
--- a/crates/entry/src/forward/pipeline.rs
+++ b/crates/entry/src/forward/pipeline.rs
@@ -344,7 +344,7 @@
             AttemptFailure::NotRun { is_misdirected } => {
                 if !is_misdirected {
                     let mut state = self.context.state();
-                    state.record_warmup_answer(now, endpoint, false);
+                    state.record_warmup_rejection(now, endpoint);
                 }
             }
             AttemptFailure::Unread => {}
@@ -392,8 +392,8 @@
         let arm = self.arm();
         let mut state = self.context.state();
         state.record_response_start(now, &guard.endpoint, took);
-        let is_sound = took <= self.call.latency_target();
-        state.record_warmup_answer(now, &guard.endpoint, is_sound);
+        let target = self.call.latency_target();
+        state.record_warmup_start(now, &guard.endpoint, took, target);
         state
             .health
             .record_success(&guard.endpoint.id, key_hash(arm.as_bytes()), took);
--- a/crates/entry/src/forward/slow_start.rs
+++ b/crates/entry/src/forward/slow_start.rs
@@ -7,6 +7,7 @@
 use chestnutloft_core::routing::{
     AnswerCount, DirectoryChange, EndpointPhase, EndpointProcess, PoolWarmth, ServiceRule,
     WarmupCause, WarmupChange, WarmupEvent, WarmupRequest, WarmupStart, endpoint_hash,
+    max_sound_delay,
 };
 use chestnutloft_core::time::TimePoint;
 
@@ -80,29 +81,55 @@
         self.begin_warmup(now, id, WarmupCause::Ejected, until);
     }
 
-    /// Records an answer as evidence: sound if it began within the latency target of its call, bad if
-    /// it was late, failed or rejected the call.
+    /// Records an answer as evidence: sound if it began in time, bad if it was late or failed.
     pub fn record_warmup_answer(
         &mut self,
         now: TimePoint,
         chosen: &ChosenEndpoint,
         is_sound: bool,
     ) {
-        let Some(endpoint) = self.endpoints.get(&chosen.id) else {
-            return;
-        };
-        if !self.is_capacity_managed(&endpoint.notice.service) {
-            return;
+        if let Some(process) = self.track_warmup(chosen) {
+            self.slow_start.record(now, process, is_sound);
+            self.log_warmups();
+        }
+    }
+
+    /// Records the beginning of an answer as evidence, `took` after the call with the latency target
+    /// `target` was sent. It is late only if it took longer than expected at this endpoint as well:
+    /// in a pool that is overloaded as a whole, healthy endpoints exceed the target.
+    pub fn record_warmup_start(
+        &mut self,
+        now: TimePoint,
+        chosen: &ChosenEndpoint,
+        took: Duration,
+        target: Duration,
+    ) {
+        let expected = chosen.prefill.expected_delay();
+        self.record_warmup_answer(now, chosen, took <= max_sound_delay(target, expected));
+    }
+
+    /// Records as evidence that the endpoint rejected a call for lack of room.
+    pub fn record_warmup_rejection(&mut self, now: TimePoint, chosen: &ChosenEndpoint) {
+        if let Some(process) = self.track_warmup(chosen) {
+            self.slow_start.record_rejection(now, process);
+            self.log_warmups();
         }
-        let process = EndpointProcess::new(&chosen.id, endpoint.notice.born_ms);
-        let slots = endpoint.notice.slots;
+    }
+
+    /// Makes the endpoint known to slow start if the capacity of its service is managed. Returns the
+    /// process that got the call.
+    fn track_warmup(&mut self, chosen: &ChosenEndpoint) -> Option<EndpointProcess> {
+        let notice = &self.endpoints.get(&chosen.id)?.notice;
+        if !self.is_capacity_managed(&notice.service) {
+            return None;
+        }
+        let process = EndpointProcess::new(&chosen.id, notice.born_ms);
+        let slots = notice.slots;
         self.slow_start.track(&chosen.id, process, slots);
-        let process = EndpointProcess::new(&chosen.id, chosen.born_ms);
-        self.slow_start.record(now, process, is_sound);
-        self.log_warmups();
+        Some(EndpointProcess::new(&chosen.id, chosen.born_ms))
     }
 
-    /// Records a call that is sent to an endpoint.
+    /// Records a call that is sent to an endpoint and counts as pending there.
     pub(super) fn record_warmup_call(&mut self, now: TimePoint, id: &str) {
         let Some(endpoint) = self.endpoints.get(id) else {
             return;
@@ -110,8 +137,11 @@
         let service = &endpoint.notice.service;
         if self.is_capacity_managed(service) {
             let service = Arc::clone(service);
-            self.slow_start
-                .record_call(now, endpoint_hash(id), &service);
+            let hash = endpoint_hash(id);
+            let pace = self.paces.factor(now, hash) * self.speeds.factor(hash);
+            let wait_ms = self.queue_delays.wait_ms(now, id);
+            let expected = Duration::from_secs_f64(wait_ms * pace / 1_000.0);
+            self.slow_start.record_call(now, hash, &service, expected);
         }
     }
 
