Add a setting for slow start and check the weights of capacity

Cause: slow start came with managed capacity and had no setting of its own, so that an operator could not compare. Weights of the choice by time were taken unchecked: a negative or infinite one makes the order of endpoints meaningless.

Change: capacity.has_slow_start, true by default. With false, only cold rates and the limits that endpoints state hold at managed services, and counts of other entries start no warm-up. ForwardSettings::check covers the times and shares of capacity.placement and capacity.plain_placement, all findings together.

Result: an endpoint that joins gets 1 of 72 calls with slow start, its usual part without, and 1 where it states a limit of 1 per second.

--- a/crates/entry/src/forward/settings.rs
+++ b/crates/entry/src/forward/settings.rs
@@ -58,6 +58,9 @@
     /// Whether calls are admitted in order of urgency and fair share, as capacity allows. Also holds
     /// for each service whose endpoints report their pace.
     pub is_ordered: bool,
+    /// Whether endpoints that start or come back get few calls until they have answered soundly, where
+    /// capacity is managed. Cold rates and limits that endpoints state hold in any case.
+    pub has_slow_start: bool,
     /// Weights of the choice of an endpoint where capacity is managed.
     pub placement: TimedPlacementSettings,
     /// The same for services without engines.
@@ -74,6 +77,7 @@
     fn default() -> Self {
         Self {
             is_ordered: false,
+            has_slow_start: true,
             placement: TimedPlacementSettings::default(),
             plain_placement: TimedPlacementSettings::plain(),
             busy_load: 0.6,
@@ -184,6 +188,48 @@
             "limits.key_withdrawal",
             "must be at least 1,000 ms",
         );
+        self.capacity.check(&mut expect);
         findings
     }
 }
+
+impl CapacitySettings {
+    fn check(&self, expect: &mut impl FnMut(bool, &str, &str)) {
+        let placements = [
+            ("capacity.placement", &self.placement),
+            ("capacity.plain_placement", &self.plain_placement),
+        ];
+        for (path, weights) in placements {
+            let times = [
+                ("full_ms", weights.full_ms),
+                ("idle_ms", weights.idle_ms),
+                ("long_ms", weights.long_ms),
+                ("waiting_ms", weights.waiting_ms),
+                ("mixed_ms", weights.mixed_ms),
+                ("remote_ms", weights.remote_ms),
+                ("trial_ms", weights.trial_ms),
+                ("equal_ms", weights.equal_ms),
+            ];
+            for (name, millis) in times {
+                expect(
+                    millis.is_finite() && millis >= 0.0,
+                    &format!("{path}.{name}"),
+                    "must be a finite number of milliseconds and not negative",
+                );
+            }
+            let shares = [
+                ("delay_share", weights.delay_share),
+                ("pause_share", weights.pause_share),
+                ("reread_share", weights.reread_share),
+                ("equal_share", weights.equal_share),
+            ];
+            for (name, share) in shares {
+                expect(
+                    (0.0..=1.0).contains(&share),
+                    &format!("{path}.{name}"),
+                    "must be between 0 and 1",
+                );
+            }
+        }
+    }
+}
--- a/crates/entry/src/forward/slow_start.rs
+++ b/crates/entry/src/forward/slow_start.rs
@@ -1,4 +1,4 @@
-//! Slow start of endpoints whose service has its capacity managed: what starts a warm-up, which
+//! Slow start of endpoints whose service has its capacity managed, unless it is turned off: what starts a warm-up, which
 //! answers count as evidence, and whether a call may be sent.
 
 use std::sync::Arc;
@@ -49,6 +49,11 @@
         }
     }
 
+    /// Whether slow start limits the calls to endpoints of `service`.
+    fn has_slow_start(&self, service: &str) -> bool {
+        self.capacity.has_slow_start && self.is_capacity_managed(service)
+    }
+
     /// Starts the warm-up of an endpoint that takes calls from `resume_at` on.
     pub(super) fn begin_warmup(
         &mut self,
@@ -61,7 +66,7 @@
             return;
         };
         let notice = &endpoint.notice;
-        if !self.is_capacity_managed(&notice.service) {
+        if !self.has_slow_start(&notice.service) {
             return;
         }
         let start = WarmupStart {
@@ -116,11 +121,11 @@
         }
     }
 
-    /// Makes the endpoint known to slow start if the capacity of its service is managed. Returns the
+    /// Makes the endpoint known to slow start if that applies to its service. Returns the
     /// process that got the call.
     fn track_warmup(&mut self, chosen: &ChosenEndpoint) -> Option<EndpointProcess> {
         let notice = &self.endpoints.get(&chosen.id)?.notice;
-        if !self.is_capacity_managed(&notice.service) {
+        if !self.has_slow_start(&notice.service) {
             return None;
         }
         let process = EndpointProcess::new(&chosen.id, notice.born_ms);
@@ -135,7 +140,7 @@
             return;
         };
         let service = &endpoint.notice.service;
-        if self.is_capacity_managed(service) {
+        if self.has_slow_start(service) {
             let service = Arc::clone(service);
             let hash = endpoint_hash(id);
             let pace = self.paces.factor(now, hash) * self.speeds.factor(hash);
@@ -153,8 +158,7 @@
             for endpoint in self.endpoints.values() {
                 let notice = &endpoint.notice;
                 let process = EndpointProcess::new(&notice.id, notice.born_ms);
-                if unknown.contains(&process.endpoint) && self.is_capacity_managed(&notice.service)
-                {
+                if unknown.contains(&process.endpoint) && self.has_slow_start(&notice.service) {
                     self.slow_start.track(&notice.id, process, notice.slots);
                 }
             }
@@ -194,7 +198,7 @@
         service: &ServiceRule,
         warmth: PoolWarmth,
     ) -> bool {
-        if warmth.warming == 0 || !self.is_capacity_managed(&service.name) {
+        if warmth.warming == 0 || !self.has_slow_start(&service.name) {
             return true;
         }
         let request = WarmupRequest {
--- a/crates/entry/tests/slow_start.rs
+++ b/crates/entry/tests/slow_start.rs
@@ -6,8 +6,9 @@
 use std::time::Duration;
 
 use chestnutloft_core::routing::{
-    CallerLimits, DeclarationUpdate, DirectoryChange, EndpointNotice, EndpointPhase, EngineRule,
-    LoadAggregator, ModelLane, PoolEndpoint, RoutingUpdate, ServiceRule,
+    AnswerCount, CallerLimits, DeclarationUpdate, DirectoryChange, EndpointNotice, EndpointPhase,
+    EngineRule, LoadAggregator, LoadSummary, ModelLane, PoolEndpoint, RoutingUpdate, ServiceRule,
+    endpoint_hash,
 };
 use chestnutloft_core::time::TimePoint;
 use chestnutloft_entry::forward::choice::{
@@ -61,11 +62,15 @@
 
 /// An entry that knows [`KNOWN`] endpoints, all at their full share.
 fn state(is_ordered: bool) -> EntryState {
+    state_with(CapacitySettings {
+        is_ordered,
+        ..CapacitySettings::default()
+    })
+}
+
+fn state_with(capacity: CapacitySettings) -> EntryState {
     let mut state = EntryState::new(&ForwardSettings {
-        capacity: CapacitySettings {
-            is_ordered,
-            ..CapacitySettings::default()
-        },
+        capacity,
         ..ForwardSettings::default()
     });
     let update = RoutingUpdate {
@@ -169,6 +174,41 @@
     assert_eq!(state.load_summary(at(200)).answers, []);
 }
 
+/// Guards against a setting without effect, and against one that also ends the limits that
+/// endpoints state.
+#[test]
+fn slow_start_that_is_turned_off_leaves_the_stated_limits() {
+    let calls = |has_slow_start, stated_per_s: Option<f64>| {
+        let mut state = state_with(CapacitySettings {
+            is_ordered: true,
+            has_slow_start,
+            ..CapacitySettings::default()
+        });
+        apply_endpoint(&mut state, 100, 2, endpoint(9, 5, 2));
+        state.record_limit(at(150), "e9", at(140), stated_per_s);
+        let peers = LoadSummary {
+            answers: vec![AnswerCount {
+                endpoint: endpoint_hash("e1"),
+                epoch: u64::MAX,
+                ..AnswerCount::default()
+            }],
+            ..LoadSummary::default()
+        };
+        state.apply_peer_load(at(150), &peers);
+        let calls = calls_at(&mut state, 200, MANY_CALLS, "e9");
+        (calls, state.gauge_values(at(200)).warming_endpoints)
+    };
+
+    let with_slow_start = calls(true, None);
+    let (without, warming) = calls(false, None);
+    let limited = calls(false, Some(1.0));
+
+    assert_eq!(with_slow_start, (1, 2));
+    assert!((6..=12).contains(&without), "{without} calls");
+    assert_eq!(warming, 0);
+    assert_eq!(limited, (1, 0));
+}
+
 /// Guards against answers that are not counted or not reported.
 #[test]
 fn sound_answers_raise_the_limit_and_are_reported() {
