Export the pace of endpoints and the use of the capacity ledger

Cause: an operator could see warming endpoints, but neither whether readings of pace arrive, how old they are when a choice uses them, nor how many of the places of a service are taken and by whom.

Change: counters chestnutloft.pace.readings (by origin) and chestnutloft.pace.choices (by service and source: reading, mean or unknown), histogram chestnutloft.pace.age of the newest reading where an attempt starts, and gauges chestnutloft.pace.mean, pace.slowest, ledger.calls, ledger.tokens (all entries or own) and ledger.places by service. Labels are services and fixed words. Gauges are computed when the page is read; services that are placed otherwise have no series.

--- a/crates/core/src/routing/capacity_ledger.rs
+++ b/crates/core/src/routing/capacity_ledger.rs
@@ -95,10 +95,15 @@
 }
 
 impl EndpointCapacity {
+    /// Calls that it takes at the same time: its slots, and a few that wait there.
+    pub fn places(&self) -> f64 {
+        (self.slots * (1.0 + WAITING_SHARE)).ceil()
+    }
+
     /// Whether an endpoint with `usage` may take one more call. A few calls may wait there, so that
     /// a freed slot is not idle until the next call arrives.
     pub fn has_room(&self, usage: UsageSum, claim: CapacityClaim) -> bool {
-        let max_calls = (self.slots * (1.0 + WAITING_SHARE)).ceil();
+        let max_calls = self.places();
         let fits_memory =
             self.tokens <= 0.0 || usage.tokens + claim.tokens <= self.tokens * MEMORY_SHARE;
         // A call that alone takes more than the share runs at an endpoint without others.
@@ -159,10 +164,15 @@
         self.peers_at = now;
     }
 
+    /// Calls and tokens of this entry at `endpoint`.
+    pub fn own_usage(&self, endpoint: EndpointHash) -> UsageSum {
+        self.own.get(&endpoint).copied().unwrap_or_default()
+    }
+
     /// Calls and tokens of all entries at `endpoint`. The part of the others loses weight once it is
     /// older than most calls last.
     pub fn usage(&self, now: TimePoint, endpoint: EndpointHash) -> UsageSum {
-        let own = self.own.get(&endpoint).copied().unwrap_or_default();
+        let own = self.own_usage(endpoint);
         let peers = self.peers.get(&endpoint).copied().unwrap_or_default();
         let age = now.since(self.peers_at).saturating_sub(FULL_WEIGHT_AGE);
         let max_age = MAX_USAGE_AGE.saturating_sub(FULL_WEIGHT_AGE);
--- a/crates/core/src/routing/endpoint_pace.rs
+++ b/crates/core/src/routing/endpoint_pace.rs
@@ -59,16 +59,43 @@
     mean: f64,
 }
 
+/// What the estimate of an endpoint's pace mostly rests on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PaceSource {
+    /// Its newest reading, of this age.
+    Reading(Duration),
+    /// The mean of its readings, since the newest one has this age.
+    Mean(Duration),
+    /// It has never said its pace.
+    Unknown,
+}
+
+/// Number of readings taken since the start of the process.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ReadingCounts {
+    /// From answers to this entry's own calls.
+    pub own: u64,
+    /// From other entries.
+    pub peers: u64,
+}
+
 /// Newest reading of each endpoint, and the mean of its readings.
 #[derive(Clone, Debug, Default)]
 pub struct PaceReadings {
     latest: HashMap<EndpointHash, LatestReading>,
+    counts: ReadingCounts,
 }
 
 impl PaceReadings {
     /// Records that `endpoint` said `percent` at `at`. Older readings than the latest and
     /// implausible ones are ignored. Returns whether the reading was taken.
     pub fn record(&mut self, at: TimePoint, endpoint: EndpointHash, percent: u32) -> bool {
+        let is_taken = self.take(at, endpoint, percent);
+        self.counts.own += u64::from(is_taken);
+        is_taken
+    }
+
+    fn take(&mut self, at: TimePoint, endpoint: EndpointHash, percent: u32) -> bool {
         if percent == 0 || percent > MAX_PERCENT {
             return false;
         }
@@ -92,7 +119,8 @@
     pub fn merge(&mut self, now: TimePoint, readings: &[PaceReading]) {
         for reading in readings {
             let at = now - Duration::from_millis(u64::from(reading.age_ms));
-            self.record(at, reading.endpoint, reading.percent);
+            let is_taken = self.take(at, reading.endpoint, reading.percent);
+            self.counts.peers += u64::from(is_taken);
         }
     }
 
@@ -120,6 +148,20 @@
         (latest.percent * weight + latest.mean * (1.0 - weight)) / 100.0
     }
 
+    /// Numbers of readings taken.
+    pub fn counts(&self) -> ReadingCounts {
+        self.counts
+    }
+
+    /// What [`Self::factor`] mostly rests on: the newest reading for one half-life, then the mean.
+    pub fn source(&self, now: TimePoint, endpoint: EndpointHash) -> PaceSource {
+        match self.age(now, endpoint) {
+            Some(age) if age < READING_HALF_LIFE => PaceSource::Reading(age),
+            Some(age) => PaceSource::Mean(age),
+            None => PaceSource::Unknown,
+        }
+    }
+
     /// Time since the newest reading of `endpoint`.
     pub fn age(&self, now: TimePoint, endpoint: EndpointHash) -> Option<Duration> {
         self.latest
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -61,7 +61,9 @@
     ChangeIndex, DirectoryChange, EndpointDirectory, EndpointNotice, EndpointPhase, NoticeOutcome,
     PoolEndpoint,
 };
-pub use endpoint_pace::{PaceReading, PaceReadings, SpeedMeans, SpeedSample, speed_sample};
+pub use endpoint_pace::{
+    PaceReading, PaceReadings, PaceSource, ReadingCounts, SpeedMeans, SpeedSample, speed_sample,
+};
 pub use endpoint_rest::EndpointRest;
 pub use escalation::{
     CallTokens, EscalationCandidate, EscalationPolicy, EscalationSettings, PoolLoad,
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -103,7 +103,12 @@
         if state.is_warming(&endpoint.id) {
             context.metrics.record_warming_call(call);
         }
+        let pace_source = state.pace_source(now, &endpoint);
         drop(state);
+        if let Some(source) = pace_source {
+            let service = &call.service.name;
+            context.metrics.record_pace_source(service, source);
+        }
         context.load_exchange.notify_changed();
         Self {
             context: Arc::clone(context),
--- a/crates/entry/src/forward/metrics.rs
+++ b/crates/entry/src/forward/metrics.rs
@@ -1,17 +1,24 @@
 //! Metrics of an entry that forwards calls by declared routes. Label values are services, versions,
 //! workspaces, model indexes and fixed words, which bounds the number of time series.
 
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, UpDownCounter};
 
+use chestnutloft_core::routing::{
+    EndpointCapacity, PaceSource, ReadingCounts, UsageSum, endpoint_hash,
+};
 use chestnutloft_core::time::TimePoint;
 use chestnutloft_wire::metrics::MetricsPage;
 
 use crate::metrics::LATENCY_BOUNDS;
 
 use super::attempt::AttemptFailure;
+use super::choice::ChosenEndpoint;
 use super::codec::CallRefusal;
 use super::copy_calls::RunCopyEvent;
 use super::inbound::InboundCall;
@@ -57,6 +64,7 @@
     /// Calls ended since their callers did not read.
     pub ended_relays: Counter<u64>,
     admission: AdmissionInstruments,
+    capacity: CapacityInstruments,
 }
 
 /// Instruments of admission control. Labels are the service and the urgency from 0 to 9.
@@ -69,8 +77,44 @@
     wait: Histogram<f64>,
 }
 
+/// Ages in seconds that separate the newest readings of pace at the time of a choice. An estimate
+/// rests mostly on the reading up to 0.3 s, and a reading is passed on up to 1.5 s.
+const READING_AGE_BOUNDS: [f64; 8] = [0.025, 0.05, 0.1, 0.2, 0.3, 0.6, 1.5, 5.0];
+
+/// Instruments of the capacity ledger and of the pace of endpoints. The label is the service.
+#[derive(Clone, Debug)]
+struct CapacityInstruments {
+    readings: Counter<u64>,
+    /// Readings that `readings` has counted: of this entry, of the others.
+    counted_readings: Arc<[AtomicU64; 2]>,
+    choices: Counter<u64>,
+    reading_age: Histogram<f64>,
+    mean_pace: Gauge<f64>,
+    slowest_pace: Gauge<f64>,
+    calls: Gauge<f64>,
+    tokens: Gauge<f64>,
+    places: Gauge<f64>,
+}
+
+/// Use of the endpoints of one service whose endpoints are chosen by expected time.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ServiceCapacity {
+    /// Endpoints that accept calls.
+    pub endpoints: usize,
+    /// Calls that these endpoints take at the same time.
+    pub places: f64,
+    /// Calls and tokens there, of all entries.
+    pub total: UsageSum,
+    /// Those of this entry.
+    pub own: UsageSum,
+    /// Mean over the endpoints of the time that work takes, as a multiple of the usual time.
+    pub mean_pace: f64,
+    /// The same of the slowest endpoint.
+    pub slowest_pace: f64,
+}
+
 /// Values of the gauges.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct GaugeValues {
     /// Number of the declaration in force at this entry.
     pub declaration: u64,
@@ -92,6 +136,10 @@
     pub leaving_endpoints: usize,
     /// Endpoints that warm up.
     pub warming_endpoints: usize,
+    /// Readings of pace taken since the start.
+    pub pace_readings: ReadingCounts,
+    /// Use of the endpoints of each service whose endpoints are chosen by expected time.
+    pub capacity: BTreeMap<Arc<str>, ServiceCapacity>,
     /// Memory reserved for bodies, in bytes.
     pub body_bytes: usize,
     /// Bytes of streams that callers have not read.
@@ -176,6 +224,7 @@
             ),
             body_memory: gauge("chestnutloft.body_memory", "Bytes reserved for bodies"),
             admission: AdmissionInstruments::new(&meter),
+            capacity: CapacityInstruments::new(&meter),
             relay_memory: gauge(
                 "chestnutloft.relay_memory",
                 "Bytes of streams that callers have not read",
@@ -220,6 +269,71 @@
     }
 }
 
+impl CapacityInstruments {
+    fn new(meter: &Meter) -> Self {
+        let counter = |name: &'static str, description: &'static str| {
+            meter
+                .u64_counter(name)
+                .with_description(description)
+                .build()
+        };
+        let gauge = |name: &'static str, description: &'static str| {
+            meter.f64_gauge(name).with_description(description).build()
+        };
+        let reading_age = meter
+            .f64_histogram("chestnutloft.pace.age")
+            .with_description("Age of the newest reading of the chosen endpoint's pace")
+            .with_unit("s")
+            .with_boundaries(READING_AGE_BOUNDS.to_vec());
+        Self {
+            readings: counter("chestnutloft.pace.readings", "Readings of pace by origin"),
+            counted_readings: Arc::default(),
+            choices: counter(
+                "chestnutloft.pace.choices",
+                "Attempts by what the estimate of the endpoint's pace rests on",
+            ),
+            reading_age: reading_age.build(),
+            mean_pace: gauge(
+                "chestnutloft.pace.mean",
+                "Time that work takes, against the usual time",
+            ),
+            slowest_pace: gauge(
+                "chestnutloft.pace.slowest",
+                "The same at the slowest endpoint",
+            ),
+            calls: gauge("chestnutloft.ledger.calls", "Calls at endpoints"),
+            tokens: gauge("chestnutloft.ledger.tokens", "Tokens of calls at endpoints"),
+            places: gauge(
+                "chestnutloft.ledger.places",
+                "Calls that endpoints take at the same time",
+            ),
+        }
+    }
+
+    /// Counts the readings taken since the last call.
+    fn count_readings(&self, counts: ReadingCounts) {
+        let origins = [("own", counts.own), ("peers", counts.peers)];
+        for ((origin, count), counted) in origins.into_iter().zip(&*self.counted_readings) {
+            let before = counted.fetch_max(count, Ordering::Relaxed);
+            let labels = [KeyValue::new("origin", origin)];
+            self.readings.add(count.saturating_sub(before), &labels);
+        }
+    }
+
+    fn record(&self, service: &str, capacity: &ServiceCapacity) {
+        let service = || KeyValue::new("service", service.to_owned());
+        for (scope, usage) in [("all", capacity.total), ("own", capacity.own)] {
+            let labels = [service(), KeyValue::new("scope", scope)];
+            self.calls.record(usage.calls, &labels);
+            self.tokens.record(usage.tokens, &labels);
+        }
+        let labels = [service()];
+        self.places.record(capacity.places, &labels);
+        self.mean_pace.record(capacity.mean_pace, &labels);
+        self.slowest_pace.record(capacity.slowest_pace, &labels);
+    }
+}
+
 impl ForwardMetrics {
     /// Counts a response that the caller gets; `model_index` is the model's index on the route.
     pub fn record_response(&self, call: &InboundCall, status: u16, model_index: usize) {
@@ -282,6 +396,23 @@
         self.warming_calls.add(1, &labels);
     }
 
+    /// Counts an attempt at an endpoint that was chosen by expected time, by what the estimate of
+    /// its pace rests on.
+    pub fn record_pace_source(&self, service: &str, source: PaceSource) {
+        let service = || KeyValue::new("service", service.to_owned());
+        let (label, age) = match source {
+            PaceSource::Reading(age) => ("reading", Some(age)),
+            PaceSource::Mean(age) => ("mean", Some(age)),
+            PaceSource::Unknown => ("unknown", None),
+        };
+        let labels = [service(), KeyValue::new("source", label)];
+        self.capacity.choices.add(1, &labels);
+        if let Some(age) = age {
+            let labels = [service()];
+            self.capacity.reading_age.record(age.as_secs_f64(), &labels);
+        }
+    }
+
     /// Counts a response that was discarded in favor of a larger model's.
     pub fn record_escalation(&self, call: &InboundCall) {
         let labels = [KeyValue::new("service", call.service.name.to_string())];
@@ -353,6 +484,10 @@
             .record(gauges.warming_endpoints as u64, &[]);
         self.body_memory.record(gauges.body_bytes as u64, &[]);
         self.relay_memory.record(gauges.relay_bytes as u64, &[]);
+        self.capacity.count_readings(gauges.pace_readings);
+        for (service, capacity) in &gauges.capacity {
+            self.capacity.record(service, capacity);
+        }
         self.page.text()
     }
 }
@@ -392,8 +527,59 @@
             limited_endpoints: self.stated_limits.count(),
             leaving_endpoints: self.leaving_count(),
             warming_endpoints: self.slow_start.warming_count(),
+            pace_readings: self.paces.counts(),
+            capacity: self.service_capacities(now),
             body_bytes: 0,
             relay_bytes: 0,
         }
     }
+    /// What the estimate of the pace of `endpoint` rests on; `None` if it was not chosen by expected time.
+    pub fn pace_source(&self, now: TimePoint, endpoint: &ChosenEndpoint) -> Option<PaceSource> {
+        let hash = endpoint_hash(&endpoint.id);
+        endpoint
+            .claim
+            .is_some()
+            .then(|| self.paces.source(now, hash))
+    }
+
+    fn service_capacities(&self, now: TimePoint) -> BTreeMap<Arc<str>, ServiceCapacity> {
+        let known = self.endpoints.values();
+        let services = known.map(|endpoint| &endpoint.notice.service);
+        let services = services.filter(|service| self.is_placed_by_time(service));
+        let mut capacities: BTreeMap<Arc<str>, ServiceCapacity> = services
+            .map(|service| (Arc::clone(service), ServiceCapacity::default()))
+            .collect();
+        for (service, capacity) in &mut capacities {
+            for endpoint in self.available_endpoints(service) {
+                let hash = endpoint_hash(&endpoint.notice.id);
+                let (total, own) = (self.ledger.usage(now, hash), self.ledger.own_usage(hash));
+                let pace = self.paces.factor(now, hash);
+                capacity.add(endpoint.notice.slots, total, own, pace);
+            }
+        }
+        capacities
+    }
+}
+
+fn add_usage(sum: UsageSum, usage: UsageSum) -> UsageSum {
+    UsageSum {
+        calls: sum.calls + usage.calls,
+        large_calls: sum.large_calls + usage.large_calls,
+        tokens: sum.tokens + usage.tokens,
+    }
+}
+
+impl ServiceCapacity {
+    fn add(&mut self, slots: u32, total: UsageSum, own: UsageSum, pace: f64) {
+        let capacity = EndpointCapacity {
+            slots: f64::from(slots.max(1)),
+            tokens: 0.0,
+        };
+        self.endpoints += 1;
+        self.places += capacity.places();
+        self.total = add_usage(self.total, total);
+        self.own = add_usage(self.own, own);
+        self.mean_pace += (pace - self.mean_pace) / self.endpoints as f64;
+        self.slowest_pace = self.slowest_pace.max(pace);
+    }
 }
