--- a/crates/core/src/routing/capacity_ledger.rs
+++ b/crates/core/src/routing/capacity_ledger.rs
@@ -154,10 +154,15 @@
         self.peers_at = now;
     }
 
+    /// Calls and tokens of this entry at `endpoint`.
+    pub fn own_usage(&self, endpoint: EndpointHash) -> UsageSum {
+        self.own.get(&endpoint).copied().unwrap_or_default()
+    }
+
     /// Calls and tokens of all entries at `endpoint`. The part of the others loses weight once it is
     /// older than most calls last.
     pub fn usage(&self, now: TimePoint, endpoint: EndpointHash) -> UsageSum {
-        let own = self.own.get(&endpoint).copied().unwrap_or_default();
+        let own = self.own_usage(endpoint);
         let peers = self.peers.get(&endpoint).copied().unwrap_or_default();
         let age = now.since(self.peers_at).saturating_sub(FULL_WEIGHT_AGE);
         let max_age = MAX_USAGE_AGE.saturating_sub(FULL_WEIGHT_AGE);
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -62,7 +62,9 @@
     ChangeIndex, DirectoryChange, EndpointDirectory, EndpointNotice, EndpointPhase, NoticeOutcome,
     PoolEndpoint,
 };
-pub use endpoint_pace::{PaceReading, PaceReadings, SpeedMeans, SpeedSample, speed_sample};
+pub use endpoint_pace::{
+    PaceReading, PaceReadings, PaceSource, ReadingCounts, SpeedMeans, SpeedSample, speed_sample,
+};
 pub use endpoint_rest::EndpointRest;
 pub use escalation::{
     CallTokens, ClassLoadBounds, EscalationCandidate, EscalationPolicy, EscalationSettings,
@@ -94,7 +96,7 @@
 pub use sessions::{SessionHash, SessionVersions, VersionPreference, session_hash};
 pub use slow_start::{
     PoolWarmth, SlowStartControl, SlowStartSettings, WarmupCause, WarmupChange, WarmupEvent,
-    WarmupRequest, WarmupStart,
+    WarmupRequest, WarmupStart, max_sound_delay,
 };
 pub use state::{
     RoutingCommand, RoutingOutcome, RoutingRevision, RoutingState, RoutingUpdate, StoredDeclaration,
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -116,6 +116,11 @@
         if state.is_warming(&endpoint.id) {
             context.metrics.record_warming_call(call);
         }
+        let pace_source = state.pace_source(now, &endpoint);
+        if let Some(source) = pace_source {
+            let service = &call.service.name;
+            context.metrics.record_pace_source(service, source);
+        }
         context.load_exchange.notify_changed();
         Self {
             context: Arc::clone(context),
