Log a step of slow start at info only at the entry whose answer caused it

A change now says whether an answer of this entry caused it. The others log it at debug, and so does every entry for an endpoint that gets its full share by idle time, without any answer.

In the simulation of 72 entries, each setback is logged at info by one entry and the full share by one to six (those with answers in the last round) instead of by 72 each.

--- a/crates/core/src/routing/endpoint_warmup.rs
+++ b/crates/core/src/routing/endpoint_warmup.rs
@@ -122,6 +122,10 @@
     peers: Answers,
     /// Answers that have changed the limit.
     applied: Answers,
+    /// Whether the latest answer of the epoch is one of this entry.
+    is_latest_own: bool,
+    /// Whether this entry has had an answer since it last heard from the others.
+    has_own_since_merge: bool,
     sound_at: Option<TimePoint>,
     /// When the epoch was taken over from other entries.
     adopted_at: Option<TimePoint>,
@@ -140,6 +144,8 @@
             own: Answers::default(),
             peers: Answers::default(),
             applied: Answers::default(),
+            is_latest_own: false,
+            has_own_since_merge: false,
             sound_at: None,
             adopted_at: None,
             full_at: None,
@@ -167,9 +173,12 @@
     }
 
     pub(super) fn change(&self, event: WarmupEvent) -> WarmupChange {
+        // Several entries may have the answers that complete a warm-up at the same time.
+        let is_shared = matches!(event, WarmupEvent::Full(_)) && self.has_own_since_merge;
         WarmupChange {
             id: Arc::clone(&self.id),
             event,
+            is_own: self.is_latest_own || is_shared,
         }
     }
 
@@ -189,6 +198,13 @@
         self.own = Answers::default();
         self.peers = Answers::default();
         self.applied = Answers::default();
+        self.is_latest_own = false;
+        self.has_own_since_merge = false;
+    }
+
+    /// Records that the counts of the other entries have been merged.
+    pub(super) fn finish_merge(&mut self) {
+        self.has_own_since_merge = false;
     }
 
     pub(super) fn enter(
@@ -253,6 +269,8 @@
                 &mut self.own.bad
             };
             *count = count.saturating_add(1);
+            self.is_latest_own = true;
+            self.has_own_since_merge = true;
         }
     }
 
@@ -289,6 +307,9 @@
         if is_entered {
             self.enter(now, now, settings);
         }
+        if sum.sound > self.peers.sound || sum.bad > self.peers.bad {
+            self.is_latest_own = false;
+        }
         self.peers.sound = self.peers.sound.max(sum.sound);
         self.peers.bad = self.peers.bad.max(sum.bad);
         is_entered
--- a/crates/core/src/routing/slow_start.rs
+++ b/crates/core/src/routing/slow_start.rs
@@ -123,6 +123,9 @@
     pub id: Arc<str>,
     /// What happened.
     pub event: WarmupEvent,
+    /// Whether an answer of this entry caused it. All entries take the same steps, so that a step is
+    /// logged for the operator only where this is true.
+    pub is_own: bool,
 }
 
 /// A step of a warm-up.
@@ -226,6 +229,7 @@
         self.changes.push(WarmupChange {
             id: Arc::clone(start.id),
             event: WarmupEvent::Entered(start.cause),
+            is_own: false,
         });
     }
 
@@ -275,6 +279,7 @@
             }
             let event = warmup.apply(now, &self.settings);
             self.changes.extend(event.map(|event| warmup.change(event)));
+            warmup.finish_merge();
         }
     }
 
--- a/crates/core/tests/routing/slow_start_fleet.rs
+++ b/crates/core/tests/routing/slow_start_fleet.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use chestnutloft_core::routing::{
-    LoadAggregator, LoadSummary, SlowStartControl, WarmupCause, WarmupRequest,
+    LoadAggregator, LoadSummary, SlowStartControl, WarmupCause, WarmupEvent, WarmupRequest,
 };
 
 use super::slow_start::{ONE_OF_MANY, SLOTS, at, begin, hash, limit, process};
@@ -267,3 +267,29 @@
     );
     assert_eq!(fleet.warming(), 0);
 }
+
+/// Guards against a log line for the operator from each entry for each step of a warm-up: 72 entries
+/// take the same steps, and one of them has the answer that caused it.
+#[test]
+fn a_step_is_attributed_to_the_entry_whose_answer_caused_it() {
+    let mut fleet = Fleet::new(72);
+    fleet.run(1_000, 50, |_| (50, false));
+    fleet.run(6_000, 50, |_| (50, true));
+
+    let changes = fleet.entries.iter_mut();
+    let changes: Vec<_> = changes
+        .flat_map(|entry| entry.control.take_changes())
+        .collect();
+    let count = |is_step: fn(&WarmupEvent) -> bool, is_own| {
+        let steps = changes.iter().filter(|change| is_step(&change.event));
+        steps.filter(|change| change.is_own == is_own).count()
+    };
+    let is_setback = |event: &WarmupEvent| matches!(event, WarmupEvent::FellBack { .. });
+    let is_done = |event: &WarmupEvent| matches!(event, WarmupEvent::Full(_));
+
+    assert_eq!(count(is_setback, true), fleet.lost.len());
+    assert_eq!(count(is_setback, false), 71 * fleet.lost.len());
+    assert_eq!(count(is_done, true) + count(is_done, false), 72);
+    let own_full = count(is_done, true);
+    assert!((1..=6).contains(&own_full), "{own_full} entries");
+}
--- a/crates/entry/src/forward/slow_start.rs
+++ b/crates/entry/src/forward/slow_start.rs
@@ -10,6 +10,8 @@
 };
 use chestnutloft_core::time::TimePoint;
 
+use spdlog::Level;
+
 use super::choice::ChosenEndpoint;
 use super::state::{EndpointState, EntryState};
 
@@ -184,16 +186,20 @@
     }
 
     fn log_warmups(&mut self) {
-        for WarmupChange { id, event } in self.slow_start.take_changes() {
+        for WarmupChange { id, event, is_own } in self.slow_start.take_changes() {
+            // All entries take each step. The one whose answer caused it logs it for the operator.
+            let level = if is_own { Level::Info } else { Level::Debug };
             match event {
                 WarmupEvent::Entered(cause) => {
                     spdlog::debug!("slow start: endpoint {id} warms up; cause: {cause:?}.");
                 }
-                WarmupEvent::Full(took) => spdlog::info!(
+                WarmupEvent::Full(took) => spdlog::log!(
+                    level,
                     "slow start: endpoint {id} has its full share after {} ms.",
                     took.as_millis()
                 ),
-                WarmupEvent::FellBack { limit, pause } => spdlog::info!(
+                WarmupEvent::FellBack { limit, pause } => spdlog::log!(
+                    level,
                     "slow start: endpoint {id} fell back from a limit of {limit} to single probes after a bad answer; the next one is sent in {} ms.",
                     pause.as_millis()
                 ),
