Send the sums of the load exchange as differences to the previous reply

Each reply listed every endpoint with calls and every one with pending work, 8 to 10 bytes each, however few had changed. Most of the bytes between failure domains were these lists.

The aggregator keeps what it has sent to each entry and sends the endpoints whose sums have changed, named by their position in the entry's table. A report carries the number of the last reply that its entry has applied; where that is not the last one sent, the sums come in full. An entry also asks for all sums after a failed exchange and after a change of the leader. Entries without managed capacity ask for no differences and get the lists as before.

Messages between entries and keepers have new fields and are not compatible with earlier builds.

--- a/crates/core/src/routing/capacity_ledger.rs
+++ b/crates/core/src/routing/capacity_ledger.rs
@@ -4,7 +4,7 @@
 //! it sent itself, and an endpoint's own reports are seconds old by the next answer from it. Entries
 //! therefore exchange what they have at each endpoint and decide by the sum.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -12,6 +12,7 @@
 use crate::time::TimePoint;
 
 use super::load_aggregation::EndpointHash;
+use super::sum_delta::UsageCounts;
 
 /// Tokens per unit of a report, to keep reports small.
 const TOKENS_PER_UNIT: f64 = 1_024.0;
@@ -159,6 +160,20 @@
         self.peers_at = now;
     }
 
+    /// Replaces the usage of the other entries at the endpoints in `changed` with that reported at
+    /// `now`. At all other endpoints, the last usage was still valid then.
+    pub fn update_peers(&mut self, now: TimePoint, changed: &[EndpointUsage]) {
+        for usage in changed {
+            if usage.calls == 0 {
+                self.peers.remove(&usage.endpoint);
+            } else {
+                self.peers
+                    .insert(usage.endpoint, UsageSum::of_report(usage));
+            }
+        }
+        self.peers_at = now;
+    }
+
     /// Calls and tokens of all entries at `endpoint`. The part of the others loses weight once it is
     /// older than most calls last.
     pub fn usage(&self, now: TimePoint, endpoint: EndpointHash) -> UsageSum {
@@ -174,7 +189,7 @@
 /// Sum of the usage that entries report.
 #[derive(Clone, Debug, Default)]
 pub struct UsageTotals {
-    totals: HashMap<EndpointHash, EndpointUsage>,
+    totals: BTreeMap<EndpointHash, EndpointUsage>,
 }
 
 impl UsageTotals {
@@ -209,4 +224,16 @@
     pub fn report(&self) -> Vec<EndpointUsage> {
         self.totals.values().copied().collect()
     }
+
+    /// The same, in ascending order of the endpoints.
+    pub(super) fn sums(&self) -> impl Iterator<Item = (EndpointHash, UsageCounts)> {
+        self.totals.values().map(|total| {
+            let counts = UsageCounts {
+                calls: total.calls,
+                large_calls: total.large_calls,
+                token_units: total.token_units,
+            };
+            (total.endpoint, counts)
+        })
+    }
 }
--- a/crates/core/src/routing/load_aggregation.rs
+++ b/crates/core/src/routing/load_aggregation.rs
@@ -4,7 +4,7 @@
 //! filled would look idle to it. Entries therefore report their pending work to one aggregator, which
 //! replies with the sum over all other entries.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -20,6 +20,7 @@
 use super::leaving_endpoints::{LeavingEndpoints, LeavingStatement};
 use super::prefix_directory::{PlacementLog, PrefixPlacement};
 use super::rate_limits::{LimitStatement, StatedLimits};
+use super::sum_delta::{SentSums, SumReply};
 
 /// Age at which a report expires. By then its entry has stopped or lost its connection, and the
 /// calls in the report have begun to answer or failed.
@@ -71,6 +72,11 @@
     pub prefixes: Vec<PrefixPlacement>,
     /// Answers of endpoints that warm up.
     pub answers: Vec<AnswerCount>,
+    /// From an entry that takes the sums as differences: number of the last reply that it has applied,
+    /// 0 for none.
+    pub applied_reply: Option<u32>,
+    /// To such an entry: `usage` and `work`, which are empty then.
+    pub sums: Option<SumReply>,
 }
 
 #[derive(Clone, Debug)]
@@ -78,6 +84,8 @@
     received_at: TimePoint,
     /// When the entry last got the mean speeds.
     speeds_sent_at: Option<TimePoint>,
+    /// Sums that were sent to the entry; `None` where it does not take differences.
+    sent_sums: Option<SentSums>,
     load: LoadSummary,
 }
 
@@ -85,7 +93,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct LoadAggregator {
     reports: HashMap<Arc<str>, EntryReport>,
-    totals: HashMap<EndpointHash, u64>,
+    totals: BTreeMap<EndpointHash, u64>,
     limits: StatedLimits,
     leaving: LeavingEndpoints,
     usage: UsageTotals,
@@ -123,14 +131,19 @@
         let answers = std::mem::take(&mut load.answers);
         let answers = self.answers.exchange(now, entry, &answers);
         self.drop_expired(now);
-        self.drop_report(entry);
-        let usage = self.usage.report();
-        self.usage.add(&load.usage);
-        let peer_work = self.totals.iter().map(|(endpoint, total)| WaitingWork {
-            endpoint: *endpoint,
-            work_ms: u32::try_from(*total).unwrap_or(u32::MAX),
+        let sent_sums = self.drop_report(entry).and_then(|report| report.sent_sums);
+        let mut reply = LoadSummary::default();
+        let sent_sums = load.applied_reply.map(|applied| {
+            let mut sent_sums = sent_sums.unwrap_or_else(|| SentSums::new(now));
+            reply.sums = Some(sent_sums.reply(applied, self.usage.sums(), self.work_sums()));
+            sent_sums
         });
-        let work: Vec<WaitingWork> = peer_work.collect();
+        if sent_sums.is_none() {
+            let work_item = |(endpoint, work_ms)| WaitingWork { endpoint, work_ms };
+            reply.work = self.work_sums().map(work_item).collect();
+            reply.usage = self.usage.report();
+        }
+        self.usage.add(&load.usage);
         let gaps = self.reports.values().map(|report| report.load.event_gap);
         let event_gap = gaps.fold(EventGapReport::default(), EventGapReport::merge);
         for item in &load.work {
@@ -143,15 +156,14 @@
             } else {
                 speeds_sent_at
             },
+            sent_sums,
             load,
         };
         self.reports.insert(Arc::clone(entry), report);
         LoadSummary {
-            work,
             event_gap,
             limits,
             leaving,
-            usage,
             paces,
             prefixes,
             speeds: if is_speed_due {
@@ -160,9 +172,16 @@
                 Vec::new()
             },
             answers,
+            ..reply
         }
     }
 
+    /// Pending work in milliseconds, in ascending order of the endpoints.
+    fn work_sums(&self) -> impl Iterator<Item = (EndpointHash, u32)> {
+        let totals = self.totals.iter();
+        totals.map(|(endpoint, total)| (*endpoint, u32::try_from(*total).unwrap_or(u32::MAX)))
+    }
+
     /// Adds the readings of `entry` and returns those that came since its last report.
     fn exchange_paces(
         &mut self,
@@ -191,16 +210,15 @@
         }
     }
 
-    fn drop_report(&mut self, entry: &str) {
-        let Some(report) = self.reports.remove(entry) else {
-            return;
-        };
+    fn drop_report(&mut self, entry: &str) -> Option<EntryReport> {
+        let report = self.reports.remove(entry)?;
         self.usage.remove(&report.load.usage);
-        for item in report.load.work {
+        for item in &report.load.work {
             if let Some(total) = self.totals.get_mut(&item.endpoint) {
                 *total = total.saturating_sub(u64::from(item.work_ms));
             }
         }
         self.totals.retain(|_, total| *total > 0);
+        Some(report)
     }
 }
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -34,6 +34,7 @@
 mod sessions;
 mod slow_start;
 mod state;
+mod sum_delta;
 mod table;
 mod timed_placement;
 mod write_progress;
@@ -96,6 +97,9 @@
 pub use state::{
     RoutingCommand, RoutingOutcome, RoutingRevision, RoutingState, RoutingUpdate, StoredDeclaration,
 };
+pub use sum_delta::{
+    ChangedSum, ReceivedSums, SentSums, SumChanges, SumNews, SumReply, SumTable, UsageCounts,
+};
 pub use table::{KeyLookup, RouteTable};
 pub use timed_placement::{TimedCandidate, TimedPlacementSettings, TimedRequest, select_by_time};
 pub use write_progress::WriteProgress;
--- a/crates/core/src/routing/queue_delay.rs
+++ b/crates/core/src/routing/queue_delay.rs
@@ -96,6 +96,20 @@
         self.peer_work_at = now;
     }
 
+    /// Replaces the pending work of the other entries at the endpoints in `changed` with that reported
+    /// at `now`. At all other endpoints, the last sum was still valid then.
+    pub fn update_peer_work(&mut self, now: TimePoint, changed: &[WaitingWork]) {
+        for item in changed {
+            if item.work_ms == 0 {
+                self.peer_work_ms.remove(&item.endpoint);
+            } else {
+                let work_ms = f64::from(item.work_ms);
+                self.peer_work_ms.insert(item.endpoint, work_ms);
+            }
+        }
+        self.peer_work_at = now;
+    }
+
     /// Pending work of the other entries at `id`, less the time since it was reported, in which the
     /// endpoint has worked on it.
     fn peer_wait_ms(&self, now: TimePoint, id: &str) -> f64 {
--- a/crates/core/tests/routing/main.rs
+++ b/crates/core/tests/routing/main.rs
@@ -27,6 +27,7 @@
 mod slow_start;
 mod slow_start_fleet;
 mod state;
+mod sum_delta;
 mod table;
 mod timed_placement;
 mod write_progress;
--- a/crates/entry/src/forward/load_exchange.rs
+++ b/crates/entry/src/forward/load_exchange.rs
@@ -79,6 +79,7 @@
 
 /// Runs exchanges until the process ends.
 pub async fn run_load_exchange(context: Arc<ForwardContext>, rpc_client: RpcClient) {
+    let mut last_leader = None;
     loop {
         context.load_exchange.wait_until_due().await;
         let leader = context.load_exchange.leader.borrow().clone();
@@ -87,6 +88,10 @@
             continue;
         };
         let requested_at = clock::now();
+        if last_leader.as_ref() != Some(&leader) {
+            context.state().reset_peer_sums();
+            last_leader = Some(leader.clone());
+        }
         let call = ShareCall {
             entry: Arc::clone(&context.name),
             share: context.state().load_summary(requested_at),
@@ -104,6 +109,7 @@
                 context.capacity_changed.send_replace(());
             }
             Err(error) => {
+                context.state().reset_peer_sums();
                 spdlog::debug!(
                     "load exchange: keeper {leader} failed: {error}; next exchange in {} ms at the earliest.",
                     RETRY_DELAY.as_millis()
--- a/crates/entry/src/forward/outcomes.rs
+++ b/crates/entry/src/forward/outcomes.rs
@@ -98,15 +98,40 @@
             speeds: self.pace_news.take_samples(),
             prefixes: self.prefixes.take_news(),
             answers: self.slow_start.answers(now),
+            applied_reply: self
+                .manages_capacity()
+                .then(|| self.received_sums.applied()),
+            sums: None,
+        }
+    }
+
+    /// Has the next sums sent in full: an exchange has failed or the leader has changed.
+    pub fn reset_peer_sums(&mut self) {
+        self.received_sums.reset();
+    }
+
+    /// Applies the sums of the other entries, as of `now`.
+    fn apply_peer_sums(&mut self, now: TimePoint, peers: &LoadSummary) {
+        let Some(news) = self.received_sums.apply(peers) else {
+            spdlog::warn!(
+                "load exchange: the reply does not fit the previous one; the next one is full."
+            );
+            return;
+        };
+        if news.is_full {
+            self.ledger.set_peers(now, &news.usage);
+            self.queue_delays.set_peer_work(now, &news.work);
+        } else {
+            self.ledger.update_peers(now, &news.usage);
+            self.queue_delays.update_peer_work(now, &news.work);
         }
     }
 
     /// Applies load information from the other entries, as of `now`.
     pub fn apply_peer_load(&mut self, now: TimePoint, peers: &LoadSummary) {
-        self.queue_delays.set_peer_work(now, &peers.work);
+        self.apply_peer_sums(now, peers);
         self.peer_event_gap = peers.event_gap;
         self.stated_limits.merge(now, &peers.limits);
-        self.ledger.set_peers(now, &peers.usage);
         self.paces.merge(now, &peers.paces);
         self.speeds.set(&peers.speeds);
         self.prefixes.merge(now, &peers.prefixes);
--- a/crates/entry/src/forward/state.rs
+++ b/crates/entry/src/forward/state.rs
@@ -9,10 +9,10 @@
     ArmCount, ArmKey, CapacityLedger, EndpointNotice, EndpointPhase, EndpointProcess,
     EndpointRateLimiter, EndpointRest, EventGapReport, EventGapTracker, HealthSettings, IdleGap,
     LeavingEndpoints, PaceReadings, PlacementSettings, PoolHealth, PrefillTimeEstimator,
-    PrefixDirectory, QueueDelayEstimator, RolloutStage, RolloutState, RouteDeclaration, RouteTable,
-    RoutingRevision, RoutingUpdate, SegmentAdmission, SegmentKnowledge, ServiceRetryBudget,
-    ServiceRetrySettings, SessionVersions, SlowStartControl, SpeedMeans, StatedLimits,
-    TerminationHistory, WarmupCause, endpoint_hash,
+    PrefixDirectory, QueueDelayEstimator, ReceivedSums, RolloutStage, RolloutState,
+    RouteDeclaration, RouteTable, RoutingRevision, RoutingUpdate, SegmentAdmission,
+    SegmentKnowledge, ServiceRetryBudget, ServiceRetrySettings, SessionVersions, SlowStartControl,
+    SpeedMeans, StatedLimits, TerminationHistory, WarmupCause, endpoint_hash,
 };
 use chestnutloft_core::time::TimePoint;
 
@@ -76,6 +76,8 @@
     pub(super) capacity: CapacitySettings,
     /// Calls and tokens at endpoints, over all entries.
     pub(super) ledger: CapacityLedger,
+    /// Sums of the other entries as the aggregator has sent them.
+    pub(super) received_sums: ReceivedSums,
     /// How long work takes at endpoints at this moment.
     pub(super) paces: PaceReadings,
     /// How long work usually takes at endpoints, against the pool.
@@ -146,6 +148,7 @@
             limits: limits.clone(),
             capacity: settings.capacity.clone(),
             ledger: CapacityLedger::default(),
+            received_sums: ReceivedSums::default(),
             paces: PaceReadings::default(),
             speeds: SpeedMeans::default(),
             prefixes: PrefixDirectory::default(),
@@ -374,6 +377,12 @@
         self.is_placed_by_time(service) && rule.is_some_and(|rule| rule.engine.is_some())
     }
 
+    /// Whether the capacity of any service is managed.
+    pub(super) fn manages_capacity(&self) -> bool {
+        let mut services = self.declaration.services.iter();
+        services.any(|service| self.is_capacity_managed(&service.name))
+    }
+
     /// Whether the endpoints of `service` are chosen by expected time.
     pub fn is_placed_by_time(&self, service: &str) -> bool {
         self.capacity.is_ordered || self.paced_services.contains(service)
