Hash an endpoint's id once instead of for each candidate of each choice

A choice hashed the id of each candidate up to four times, looked each one up again for its usage and twice for its queueing delay, and hashed the rendezvous key for each comparison. With stated limits it ranked all entries for each endpoint, also where the limit leaves a share for every entry.

An entry's endpoint state holds the hash; usage and queueing delay are read with one look-up each; the rendezvous key is hashed once; the rank is computed only where it decides. Decisions are the same.

--- a/crates/core/src/routing/budgets.rs
+++ b/crates/core/src/routing/budgets.rs
@@ -145,12 +145,12 @@
     /// rendezvous hash may send, and the others get 0.
     pub fn entry_share(id: &str, own: &str, entries: &[Arc<str>], per_s: f64) -> RateShare {
         let senders = (per_s / MIN_CALLS_PER_ENTRY).floor().max(1.0) as usize;
-        let rank = rendezvous_rank(id, own, entries);
         let senders = senders.min(entries.len().max(1));
+        let is_sender = senders >= entries.len() || rendezvous_rank(id, own, entries) < senders;
         let calls = per_s / senders as f64;
         let min_per_s = 1.0 / MAX_RATE_WINDOW.as_secs_f64();
         RateShare {
-            calls: if rank < senders {
+            calls: if is_sender {
                 calls.floor().max(1.0) as usize
             } else {
                 0
--- a/crates/core/src/routing/queue_delay.rs
+++ b/crates/core/src/routing/queue_delay.rs
@@ -110,10 +110,10 @@
         self.peer_work_at = now;
     }
 
-    /// Pending work of the other entries at `id`, less the time since it was reported, in which the
-    /// endpoint has worked on it.
-    fn peer_wait_ms(&self, now: TimePoint, id: &str) -> f64 {
-        let Some(reported) = self.peer_work_ms.get(&endpoint_hash(id)) else {
+    /// Pending work of the other entries at an endpoint, less the time since it was reported, in which
+    /// the endpoint has worked on it.
+    fn peer_wait_ms(&self, now: TimePoint, endpoint: EndpointHash) -> f64 {
+        let Some(reported) = self.peer_work_ms.get(&endpoint) else {
             return 0.0;
         };
         let age_ms = now.since(self.peer_work_at).as_secs_f64() * 1_000.0;
@@ -152,19 +152,25 @@
     }
 
     fn delay_ms(&self, now: TimePoint, id: &str) -> f64 {
-        self.endpoints.get(id).map_or(0.0, |endpoint| {
-            let age_ms = now.since(endpoint.delay_updated_at).as_secs_f64() * 1_000.0;
-            endpoint.delay_ms * 0.5_f64.powf(age_ms / self.settings.half_life_ms)
-        })
+        let endpoint = self.endpoints.get(id);
+        endpoint.map_or(0.0, |endpoint| self.aged_delay_ms(now, endpoint))
+    }
+
+    fn aged_delay_ms(&self, now: TimePoint, endpoint: &EndpointQueue) -> f64 {
+        if endpoint.delay_ms <= 0.0 {
+            return 0.0;
+        }
+        let age_ms = now.since(endpoint.delay_updated_at).as_secs_f64() * 1_000.0;
+        endpoint.delay_ms * 0.5_f64.powf(age_ms / self.settings.half_life_ms)
     }
 
     /// Expected wait of a new call to `id` before its prompt is processed, in milliseconds.
     pub fn wait_ms(&self, now: TimePoint, id: &str) -> f64 {
-        let own = self
-            .endpoints
-            .get(id)
-            .map_or(0.0, |endpoint| endpoint.pending.work_ms);
-        (own + self.peer_wait_ms(now, id)).max(self.delay_ms(now, id))
+        let Some(endpoint) = self.endpoints.get(id) else {
+            return self.peer_wait_ms(now, endpoint_hash(id));
+        };
+        let pending_ms = endpoint.pending.work_ms + self.peer_wait_ms(now, endpoint.hash);
+        pending_ms.max(self.aged_delay_ms(now, endpoint))
     }
 
     /// Discards what is known of an endpoint.
--- a/crates/core/src/routing/timed_placement.rs
+++ b/crates/core/src/routing/timed_placement.rs
@@ -7,7 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::hash::rendezvous_weight;
+use crate::hash::rendezvous_key;
 
 use super::capacity_ledger::UsageSum;
 
@@ -127,10 +127,8 @@
         .collect();
     let least = costs.iter().copied().min_by(f64::total_cmp)?;
     let limit = least * (1.0 + settings.equal_share) + settings.equal_ms;
-    let spread = |index: &usize| {
-        let id = candidates[*index].id.as_bytes();
-        rendezvous_weight(&request.call_hash.to_le_bytes(), id)
-    };
+    let weight = rendezvous_key(&request.call_hash.to_le_bytes());
+    let spread = |index: &usize| weight(candidates[*index].id.as_bytes());
     let equal = (0..candidates.len()).filter(|index| costs[*index] <= limit);
     equal.max_by_key(spread)
 }
--- a/crates/entry/src/forward/capacity.rs
+++ b/crates/entry/src/forward/capacity.rs
@@ -60,15 +60,11 @@
 impl EntryState {
     /// Calls and tokens of all entries at an endpoint. A recent report of the endpoint itself
     /// counts if it says more.
-    pub fn endpoint_usage(&self, now: TimePoint, id: &str) -> UsageSum {
-        let usage = self.ledger.usage(now, endpoint_hash(id));
-        let endpoint = self.endpoints.get(id);
-        let reported = endpoint
-            .filter(|endpoint| {
-                let report = endpoint.report.as_ref();
-                report.is_some_and(|report| now.since(report.received_at) < MAX_REPORT_AGE)
-            })
-            .map_or(0.0, |endpoint| endpoint.load(now));
+    pub(super) fn endpoint_usage(&self, now: TimePoint, endpoint: &EndpointState) -> UsageSum {
+        let usage = self.ledger.usage(now, endpoint.hash);
+        let report = endpoint.report.as_ref();
+        let is_recent = report.is_some_and(|report| now.since(report.received_at) < MAX_REPORT_AGE);
+        let reported = if is_recent { endpoint.load(now) } else { 0.0 };
         UsageSum {
             calls: usage.calls.max(reported),
             ..usage
@@ -195,11 +191,11 @@
         holders: &[EndpointHash],
     ) -> TimedCandidate<'a> {
         let id = &*endpoint.notice.id;
-        let hash = endpoint_hash(id);
+        let hash = endpoint.hash;
         TimedCandidate {
             id,
             is_remote: endpoint.notice.domain != self.domain,
-            usage: self.endpoint_usage(now, id),
+            usage: self.endpoint_usage(now, endpoint),
             slots: f64::from(endpoint.notice.slots.max(1)),
             wait_ms: self.queue_delays.wait_ms(now, id),
             pace: self.paces.factor(now, hash) * self.speeds.factor(hash),
--- a/crates/entry/src/forward/choice.rs
+++ b/crates/entry/src/forward/choice.rs
@@ -8,7 +8,7 @@
 use chestnutloft_core::routing::{
     CapacityClaim, EndpointCandidate, EndpointNotice, EndpointPhase, EndpointRateLimiter,
     ModelLane, PlacementRequest, PoolLoad, QueueState, RolloutStage, RolloutState, ServiceRule,
-    SessionHash, VersionPreference, endpoint_hash, select_endpoint, session_hash,
+    SessionHash, VersionPreference, select_endpoint, session_hash,
 };
 use chestnutloft_core::time::TimePoint;
 use chestnutloft_wire::message::RolloutAge;
@@ -194,7 +194,7 @@
         for endpoint in available {
             wait_ms += self.queue_delays.wait_ms(now, &endpoint.notice.id);
             load += if is_managed {
-                self.endpoint_usage(now, &endpoint.notice.id).calls
+                self.endpoint_usage(now, endpoint).calls
             } else {
                 endpoint.load(now)
             };
@@ -387,7 +387,7 @@
         let id = &endpoint.notice.id;
         let is_cold = now < endpoint.cold_until && service.cold_per_s > 0.0;
         let cold_per_s = is_cold.then_some(service.cold_per_s);
-        let stated_per_s = self.stated_limits.per_s(endpoint_hash(id));
+        let stated_per_s = self.stated_limits.per_s(endpoint.hash);
         let limits = cold_per_s.into_iter().chain(stated_per_s);
         let Some(per_s) = limits.min_by(f64::total_cmp) else {
             return true;
--- a/crates/entry/src/forward/copy_choice.rs
+++ b/crates/entry/src/forward/copy_choice.rs
@@ -97,7 +97,7 @@
             .map(|endpoint| CopyTarget {
                 id: &endpoint.notice.id,
                 domain: &endpoint.notice.domain,
-                load: self.endpoint_usage(now, &endpoint.notice.id).calls,
+                load: self.endpoint_usage(now, endpoint).calls,
                 slots: f64::from(endpoint.notice.slots.max(1)),
             })
             .collect();
--- a/crates/entry/src/forward/load_exchange.rs
+++ b/crates/entry/src/forward/load_exchange.rs
@@ -158,7 +158,7 @@
         let slot_share = |service: &str| {
             let (mut calls, mut slots) = (0.0, 0.0);
             for endpoint in self.available_endpoints(service) {
-                calls += self.endpoint_usage(now, &endpoint.notice.id).calls;
+                calls += self.endpoint_usage(now, endpoint).calls;
                 slots += f64::from(endpoint.notice.slots);
             }
             calls / f64::max(slots, 1.0)
--- a/crates/entry/src/forward/slow_start.rs
+++ b/crates/entry/src/forward/slow_start.rs
@@ -151,8 +151,7 @@
         }
         for endpoint in self.available_endpoints(service) {
             warmth.total += 1;
-            let hash = endpoint_hash(&endpoint.notice.id);
-            warmth.warming += usize::from(self.slow_start.is_warming(hash));
+            warmth.warming += usize::from(self.slow_start.is_warming(endpoint.hash));
         }
         warmth
     }
@@ -170,7 +169,7 @@
             return true;
         }
         let request = WarmupRequest {
-            endpoint: endpoint_hash(&endpoint.notice.id),
+            endpoint: endpoint.hash,
             service: &service.name,
             own: &self.name,
             entries: &self.entries,
--- a/crates/entry/src/forward/state.rs
+++ b/crates/entry/src/forward/state.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use chestnutloft_core::routing::{
-    ArmCount, ArmKey, CapacityLedger, EndpointNotice, EndpointPhase, EndpointProcess,
+    ArmCount, ArmKey, CapacityLedger, EndpointHash, EndpointNotice, EndpointPhase, EndpointProcess,
     EndpointRateLimiter, EndpointRest, EventGapReport, EventGapTracker, HealthSettings, IdleGap,
     LeavingEndpoints, PaceReadings, PlacementSettings, PoolHealth, PrefillTimeEstimator,
     PrefixDirectory, QueueDelayEstimator, ReceivedSums, RolloutStage, RolloutState,
@@ -28,6 +28,8 @@
 /// State of one endpoint as this entry sees it.
 #[derive(Clone, Debug)]
 pub(super) struct EndpointState {
+    /// Hash of the endpoint's id.
+    pub(super) hash: EndpointHash,
     /// Latest announcement of the endpoint.
     pub(super) notice: EndpointNotice,
     /// Until when the endpoint counts as cold, which limits the rate of new calls to it.
@@ -291,6 +293,7 @@
             known.cold_until = cold_until;
         } else {
             let endpoint = EndpointState {
+                hash: endpoint_hash(&notice.id),
                 notice,
                 cold_until,
                 in_flight: 0,
