--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -18,6 +18,7 @@
 mod endpoint_warmup;
 mod escalation;
 mod event_gap;
+mod exchange_interval;
 mod health;
 mod leaving_endpoints;
 mod load_aggregation;
@@ -35,6 +36,7 @@
 mod sessions;
 mod slow_start;
 mod state;
+mod sum_delta;
 mod table;
 mod timed_placement;
 mod write_progress;
@@ -71,6 +73,9 @@
     FirstDelays, LoadBounds, PoolLoad,
 };
 pub use event_gap::{EventGapReport, EventGapTracker, IdleGap};
+pub use exchange_interval::{
+    ExchangeInterval, ExchangeIntervalSettings, ManagedLoad, exchange_interval,
+};
 pub use health::{HealthSettings, PoolHealth};
 pub use leaving_endpoints::{EndpointProcess, LeavingEndpoints, LeavingStatement};
 pub use load_aggregation::{EndpointHash, LoadAggregator, LoadSummary, WaitingWork, endpoint_hash};
@@ -101,6 +106,9 @@
 pub use state::{
     RoutingCommand, RoutingOutcome, RoutingRevision, RoutingState, RoutingUpdate, StoredDeclaration,
 };
+pub use sum_delta::{
+    ChangedSum, ReceivedSums, SentSums, SumChanges, SumNews, SumReply, SumTable, UsageCounts,
+};
 pub use table::{KeyLookup, RouteTable};
 pub use timed_placement::{TimedCandidate, TimedPlacementSettings, TimedRequest, select_by_time};
 pub use write_progress::WriteProgress;
--- a/crates/entry/src/forward/state.rs
+++ b/crates/entry/src/forward/state.rs
@@ -7,11 +7,11 @@
 
 use chestnutloft_core::admission::{ClassRank, PriorityClass};
 use chestnutloft_core::routing::{
-    ArmCount, ArmKey, CapacityLedger, EndpointNotice, EndpointPhase, EndpointProcess,
+    ArmCount, ArmKey, CapacityLedger, EndpointHash, EndpointNotice, EndpointPhase, EndpointProcess,
     EndpointRateLimiter, EndpointRest, EventGapReport, EventGapTracker, HealthSettings, IdleGap,
     LeavingEndpoints, PaceReadings, PlacementSettings, PoolHealth, PrefillProfile,
-    PrefillTimeEstimator, PrefixDirectory, QueueDelayEstimator, RolloutStage, RolloutState,
-    RouteDeclaration, RouteTable, RoutingRevision, RoutingUpdate, SegmentAdmission,
+    PrefillTimeEstimator, PrefixDirectory, QueueDelayEstimator, ReceivedSums, RolloutStage,
+    RolloutState, RouteDeclaration, RouteTable, RoutingRevision, RoutingUpdate, SegmentAdmission,
     SegmentKnowledge, ServiceRetryBudget, ServiceRetrySettings, SessionVersions, SlowStartControl,
     SpeedMeans, StatedLimits, TerminationHistory, WarmupCause, endpoint_hash,
 };
@@ -29,6 +29,8 @@
 /// State of one endpoint as this entry sees it.
 #[derive(Clone, Debug)]
 pub(super) struct EndpointState {
+    /// Hash of the endpoint's id.
+    pub(super) hash: EndpointHash,
     /// Latest announcement of the endpoint.
     pub(super) notice: EndpointNotice,
     /// Until when the endpoint counts as cold, which limits the rate of new calls to it.
@@ -77,6 +79,8 @@
     pub(super) capacity: CapacitySettings,
     /// Calls and tokens at endpoints, over all entries.
     pub(super) ledger: CapacityLedger,
+    /// Sums of the other entries as the aggregator has sent them.
+    pub(super) received_sums: ReceivedSums,
     /// How long work takes at endpoints at this moment.
     pub(super) paces: PaceReadings,
     /// How long work usually takes at endpoints, against the pool.
@@ -149,6 +153,7 @@
             limits: limits.clone(),
             capacity: settings.capacity.clone(),
             ledger: CapacityLedger::default(),
+            received_sums: ReceivedSums::default(),
             paces: PaceReadings::default(),
             speeds: SpeedMeans::default(),
             prefill_profile: PrefillProfile::default(),
@@ -292,6 +297,7 @@
             known.cold_until = cold_until;
         } else {
             let endpoint = EndpointState {
+                hash: endpoint_hash(&notice.id),
                 notice,
                 cold_until,
                 in_flight: 0,
@@ -388,6 +394,12 @@
         }
     }
 
+    /// Whether the capacity of any service is managed.
+    pub(super) fn manages_capacity(&self) -> bool {
+        let mut services = self.declaration.services.iter();
+        services.any(|service| self.is_capacity_managed(&service.name))
+    }
+
     /// Whether the endpoints of `service` are chosen by expected time.
     pub fn is_placed_by_time(&self, service: &str) -> bool {
         self.capacity.is_ordered || self.paced_services.contains(service)
