Share the free room among entries, and spread calls by the age of the data

Cause: entries read the same sums, and each took all that they showed as free. After a loss of power of all instances, one endpoint got 47 to 70 calls within 100 ms and rejected them; calls chose the same best endpoint while no keeper led.

Change: between two exchanges an entry starts at most its part of the free room, by demand, with a draw where the part is less than one call. Calls are spread over as many of the best endpoints as all entries start calls before they hear of each other.

--- a/crates/core/src/routing/capacity_ledger.rs
+++ b/crates/core/src/routing/capacity_ledger.rs
@@ -24,6 +24,9 @@
 /// sent since the last exchange: an endpoint whose memory is exceeded ends.
 const MEMORY_SHARE: f64 = 0.9;
 
+/// Share of an endpoint's memory from which a call counts as large.
+const LARGE_CLAIM_SHARE: f64 = 0.05;
+
 /// What one or more entries have at an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndpointUsage {
@@ -95,11 +98,36 @@
 impl EndpointCapacity {
     /// Whether an endpoint with `usage` may take one more call.
     pub fn has_room(&self, usage: UsageSum, claim: CapacityClaim) -> bool {
-        let fits_memory =
-            self.tokens <= 0.0 || usage.tokens + claim.tokens <= self.tokens * MEMORY_SHARE;
+        self.room_for(usage, claim) >= 1.0
+    }
+
+    /// Number of calls with this claim that an endpoint with `usage` may take while other entries send
+    /// calls, too: a second one may send a large call before it hears of this one.
+    pub fn room_among_entries(&self, usage: UsageSum, claim: CapacityClaim) -> f64 {
+        let is_large = claim.tokens > self.tokens * LARGE_CLAIM_SHARE;
+        let margin = if is_large && usage.calls >= 1.0 {
+            claim.tokens
+        } else {
+            0.0
+        };
+        let usage = UsageSum {
+            tokens: usage.tokens + margin,
+            ..usage
+        };
+        self.room_for(usage, claim)
+    }
+
+    /// Number of calls with this claim that an endpoint with `usage` may take.
+    pub fn room_for(&self, usage: UsageSum, claim: CapacityClaim) -> f64 {
+        let places = (self.places - usage.calls).floor().max(0.0);
+        if self.tokens <= 0.0 {
+            return places;
+        }
+        let free_tokens = self.tokens * MEMORY_SHARE - usage.tokens;
+        let fitting = (free_tokens / claim.tokens.max(1.0)).floor();
         // A call that alone takes more than the share runs at an endpoint without others.
         let is_alone = usage.calls < 1.0 && claim.tokens <= self.tokens;
-        usage.calls + 1.0 <= self.places && (fits_memory || is_alone)
+        places.min(fitting.max(f64::from(u8::from(is_alone))))
     }
 }
 
--- a/crates/core/src/routing/endpoint_pace.rs
+++ b/crates/core/src/routing/endpoint_pace.rs
@@ -26,7 +26,7 @@
 /// Number of answers over which the speed of an endpoint is averaged.
 const SPEED_WINDOW: f64 = 40.0;
 /// Bound on the log ratio of one answer, so that an outlier does not dominate the mean.
-const MAX_LOG_RATIO: f64 = 2.5;
+const MAX_LOG_RATIO: f64 = 1.5;
 /// Units of the log ratio in a sample.
 const RATIO_UNITS: f64 = 100.0;
 
@@ -52,6 +52,17 @@
     pub count: u32,
 }
 
+impl SpeedSample {
+    /// One answer with this natural logarithm of measured by expected time.
+    pub fn new(endpoint: EndpointHash, log_ratio: f64) -> Self {
+        Self {
+            endpoint,
+            log_ratio: (log_ratio * RATIO_UNITS) as i32,
+            count: 1,
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct LatestReading {
     percent: f64,
@@ -240,9 +251,5 @@
 /// Comparison of one answer's time with what was expected.
 pub fn speed_sample(endpoint: EndpointHash, measured_ms: f64, expected_ms: f64) -> SpeedSample {
     let ratio = (measured_ms.max(1.0) / expected_ms.max(1.0)).ln();
-    SpeedSample {
-        endpoint,
-        log_ratio: (ratio.clamp(-MAX_LOG_RATIO, MAX_LOG_RATIO) * RATIO_UNITS) as i32,
-        count: 1,
-    }
+    SpeedSample::new(endpoint, ratio.clamp(-MAX_LOG_RATIO, MAX_LOG_RATIO))
 }
--- a/crates/core/src/routing/load_aggregation.rs
+++ b/crates/core/src/routing/load_aggregation.rs
@@ -61,6 +61,8 @@
     pub limits: Vec<LimitStatement>,
     /// Endpoints that have said that they leave.
     pub leaving: Vec<LeavingStatement>,
+    /// Calls that wait for, or are started per second at, services whose capacity is managed.
+    pub demand: u32,
     /// Calls and tokens at endpoints whose capacity is managed.
     pub usage: Vec<EndpointUsage>,
     /// Readings of endpoints' pace that the receiver may not know yet.
@@ -150,6 +152,8 @@
         self.usage.add(&load.usage);
         let gaps = self.reports.values().map(|report| report.load.event_gap);
         let event_gap = gaps.fold(EventGapReport::default(), EventGapReport::merge);
+        let demands = self.reports.values().map(|report| report.load.demand);
+        let demand = demands.fold(0, u32::saturating_add);
         for item in &load.work {
             *self.totals.entry(item.endpoint).or_default() += u64::from(item.work_ms);
         }
@@ -166,6 +170,7 @@
         self.reports.insert(Arc::clone(entry), report);
         LoadSummary {
             event_gap,
+            demand,
             limits,
             leaving,
             paces,
--- a/crates/core/src/routing/prefill_profile.rs
+++ b/crates/core/src/routing/prefill_profile.rs
@@ -8,7 +8,7 @@
 
 use crate::hash::key_hash;
 
-use super::endpoint_pace::{SpeedMeans, SpeedSample, speed_sample};
+use super::endpoint_pace::{SpeedMeans, SpeedSample};
 use super::load_aggregation::EndpointHash;
 
 /// Fixed cost of a call, in equivalent prompt tokens.
@@ -83,7 +83,7 @@
         let max_ms = self.means.ratio(key, MIN_COUNT);
         let max_ms = max_ms.map_or(f64::INFINITY, |ratio| reference_ms * ratio * MAX_EXCESS);
         let measured_ms = (took.as_secs_f64() * 1_000.0).min(max_ms);
-        speed_sample(key, measured_ms, reference_ms)
+        SpeedSample::new(key, (measured_ms.max(1.0) / reference_ms).ln())
     }
 }
 
--- a/crates/core/src/routing/timed_placement.rs
+++ b/crates/core/src/routing/timed_placement.rs
@@ -123,9 +123,15 @@
     pub is_large: Option<bool>,
     /// Longest pause between events that callers of the service accept, in milliseconds.
     pub max_pause_ms: f64,
+    /// Number of the best endpoints over which calls are spread; see [`super::RoomShare::spread`].
+    pub spread: usize,
 }
 
-/// Selects among the candidates of least expected cost and returns its index; `None` if there are no candidates.
+/// Selects an endpoint of low expected cost and returns its index; `None` if there are no candidates.
+///
+/// Calls are spread over the endpoints whose costs count as equal, and over the `spread` best ones in
+/// any case. An endpoint that has the prompt's prefix cached is selected if it costs least: it is the
+/// best one for few calls.
 pub fn select_by_time(
     settings: &TimedPlacementSettings,
     request: &TimedRequest,
@@ -135,15 +141,35 @@
         .iter()
         .map(|candidate| expected_cost(settings, request, candidate))
         .collect();
-    let least = costs.iter().copied().min_by(f64::total_cmp)?;
-    let avoidable_ms = (least - request.prefill_ms(true)).max(0.0);
-    let limit = least + avoidable_ms * settings.equal_share + settings.equal_ms;
+    let by_cost = |a: &usize, b: &usize| costs[*a].total_cmp(&costs[*b]);
+    let least = (0..candidates.len()).min_by(by_cost)?;
+    if candidates[least].has_prefix {
+        return Some(least);
+    }
+    let avoidable_ms = (costs[least] - request.prefill_ms(true)).max(0.0);
+    let equal_limit = costs[least] + avoidable_ms * settings.equal_share + settings.equal_ms;
+    let limit = equal_limit.max(spread_limit(request, candidates, &costs));
     let weight = rendezvous_key(&request.call_hash.to_le_bytes());
     let spread = |index: &usize| weight(candidates[*index].id.as_bytes());
-    let equal = (0..candidates.len()).filter(|index| costs[*index] <= limit);
+    let equal = (0..candidates.len())
+        .filter(|index| costs[*index] <= limit && !candidates[*index].has_prefix);
     equal.max_by_key(spread)
 }
 
+/// Cost of the last of the best endpoints over which calls are spread, those with the prefix aside.
+fn spread_limit(request: &TimedRequest, candidates: &[TimedCandidate<'_>], costs: &[f64]) -> f64 {
+    if request.spread <= 1 {
+        return 0.0;
+    }
+    let others = candidates.iter().zip(costs);
+    let others = others.filter(|(candidate, _)| !candidate.has_prefix);
+    let mut others: Vec<f64> = others.map(|(_, cost)| *cost).collect();
+    let Some(last) = others.len().min(request.spread).checked_sub(1) else {
+        return 0.0;
+    };
+    *others.select_nth_unstable_by(last, f64::total_cmp).1
+}
+
 impl TimedRequest {
     fn prefill_ms(&self, has_prefix: bool) -> f64 {
         self.suffix_ms + if has_prefix { 0.0 } else { self.prefix_ms }
--- a/crates/core/tests/routing/capacity_ledger.rs
+++ b/crates/core/tests/routing/capacity_ledger.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use chestnutloft_core::admission::{ClassRank, ClassReserve};
 use chestnutloft_core::routing::{
     CapacityClaim, CapacityLedger, EndpointCapacity, LoadAggregator, LoadSummary, UsageSum,
 };
--- a/crates/core/tests/routing/escalation.rs
+++ b/crates/core/tests/routing/escalation.rs
@@ -37,6 +37,7 @@
         tokens: PLAN,
         elapsed,
         target_latency: TARGET_LATENCY,
+        expected_delay: Duration::ZERO,
     }
 }
 
--- a/crates/core/tests/routing/load_fixture.rs
+++ b/crates/core/tests/routing/load_fixture.rs
@@ -7,10 +7,12 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 
+use chestnutloft_core::admission::{ClassRank, ClassReserve};
 use chestnutloft_core::routing::{
-    CapacityClaim, CapacityLedger, EndpointCapacity, LoadAggregator, LoadSummary, PaceReading,
-    PaceReadings, QueueDelayEstimator, SpeedMeans, SpeedSample, TimedCandidate,
-    TimedPlacementSettings, TimedRequest, UsageSum, endpoint_hash, select_by_time, speed_sample,
+    CapacityClaim, CapacityLedger, DemandShare, EndpointCapacity, LoadAggregator, LoadSummary,
+    PaceReading, PaceReadings, QueueDelayEstimator, RoomShare, SpeedMeans, SpeedSample,
+    TimedCandidate, TimedPlacementSettings, TimedRequest, UsageSum, endpoint_hash, select_by_time,
+    speed_sample,
 };
 use chestnutloft_core::time::TimePoint;
 
@@ -70,15 +72,15 @@
 impl PoolSettings {
     /// Calls that an endpoint may hold: those that run, and an eighth of the slots that waits.
     pub fn places(&self) -> usize {
-        self.slots + self.slots.div_ceil(8)
+        ClassReserve::default().places(self.slots as f64, ClassRank::MOST_URGENT) as usize
     }
 
-    fn has_room(&self, usage: UsageSum, claim: CapacityClaim) -> bool {
+    fn room_for(&self, usage: UsageSum, claim: CapacityClaim) -> f64 {
         let capacity = EndpointCapacity {
-            slots: self.slots as f64,
+            places: ClassReserve::default().places(self.slots as f64, ClassRank::MOST_URGENT),
             tokens: self.tokens,
         };
-        capacity.has_room(usage, claim)
+        capacity.room_among_entries(usage, claim)
     }
 }
 
@@ -138,6 +140,8 @@
     pub is_killed: bool,
     pub waiting: VecDeque<(u64, Call)>,
     ledger: CapacityLedger,
+    room_share: RoomShare,
+    peer_demand: u32,
     delays: QueueDelayEstimator,
     paces: PaceReadings,
     speeds: SpeedMeans,
@@ -169,6 +173,7 @@
         let report = LoadSummary {
             work: self.delays.waiting_work(),
             usage: self.ledger.report(),
+            demand: self.demand(now_ms).own.ceil() as u32,
             paces: readings.into_iter().map(aged).collect(),
             speeds: std::mem::take(&mut self.samples),
             ..LoadSummary::default()
@@ -178,10 +183,19 @@
         self.ledger.set_peers(now, &reply.usage);
         self.paces.merge(now, &reply.paces);
         self.speeds.set(&reply.speeds);
+        self.peer_demand = reply.demand;
+        self.room_share.renew(now);
         self.exchanged_ms = Some(now_ms);
         self.changed_ms = None;
     }
 
+    fn demand(&self, now_ms: u64) -> DemandShare {
+        DemandShare {
+            own: self.waiting.len() as f64 + self.room_share.starts_per_s(at(now_ms)),
+            peers: f64::from(self.peer_demand),
+        }
+    }
+
     /// Calls of all entries at `endpoint`, as this entry knows them.
     pub fn known_calls(&self, now_ms: u64, endpoint: &Endpoint) -> f64 {
         let hash = endpoint_hash(&endpoint.id);
@@ -225,6 +239,7 @@
         };
         let entry = |number: usize| Entry {
             name: Arc::from(format!("entry-{number}")),
+            room_share: RoomShare::new(&format!("entry-{number}")),
             ..Entry::default()
         };
         Self {
@@ -350,6 +365,7 @@
         self.call_count += 1;
         let endpoint = &mut self.endpoints[index];
         entry.ledger.claim(endpoint_hash(&endpoint.id), claim(call));
+        entry.room_share.record_start(at(now_ms));
         entry.delays.add_pending(&endpoint.id, call.work_ms);
         entry.changed_ms.get_or_insert(now_ms);
         let start_ms = endpoint.start_ms(now_ms as f64, self.settings.slots);
@@ -450,7 +466,7 @@
     };
     let with_room = endpoints.iter().enumerate().filter(|(_, endpoint)| {
         let usage = entry.ledger.usage(now, endpoint_hash(&endpoint.id));
-        settings.has_room(usage, claim(call))
+        settings.room_for(usage, claim(call)) >= 1.0
     });
     let (indices, candidates): (Vec<usize>, Vec<TimedCandidate<'_>>) = with_room
         .map(|(index, endpoint)| {
@@ -468,7 +484,15 @@
             (index, candidate)
         })
         .unzip();
+    let demand = entry.demand(now_ms);
+    let free = candidates
+        .iter()
+        .map(|candidate| settings.room_for(candidate.usage, claim(call)));
+    if !entry.room_share.may_start(now, free.sum(), demand) {
+        return None;
+    }
     let request = TimedRequest {
+        spread: entry.room_share.spread(now, demand),
         call_hash,
         suffix_ms: call.work_ms,
         max_pause_ms: 1_200.0,
--- a/crates/entry/src/forward/admission_queues.rs
+++ b/crates/entry/src/forward/admission_queues.rs
@@ -61,10 +61,10 @@
         service.is_some_and(|service| service.queue.has_waiting(now, class))
     }
 
-    /// Whether any call waits.
-    pub(super) fn has_waiting(&self) -> bool {
+    /// Number of calls that wait.
+    pub(super) fn waiting_count(&self) -> usize {
         let services = self.lock();
-        services.values().any(|service| !service.queue.is_empty())
+        services.values().map(|service| service.queue.len()).sum()
     }
 
     /// Queues a call of `service`.
--- a/crates/entry/src/forward/capacity.rs
+++ b/crates/entry/src/forward/capacity.rs
@@ -4,9 +4,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use chestnutloft_core::admission::CapacityLimits;
 use chestnutloft_core::routing::{
-    CapacityClaim, EndpointCapacity, EndpointHash, ModelLane, PaceReading, PrefixHash, SpeedSample,
-    TimedCandidate, TimedRequest, UsageSum, endpoint_hash, select_by_time, speed_sample,
+    CapacityClaim, DemandShare, EndpointCapacity, EndpointHash, ModelLane, PaceReading, PrefixHash,
+    SpeedSample, TimedCandidate, TimedRequest, UsageSum, endpoint_hash, select_by_time,
+    speed_sample,
 };
 use chestnutloft_core::time::TimePoint;
 
@@ -142,6 +144,9 @@
         if let Some(claim) = endpoint.claim {
             let hash = endpoint_hash(&endpoint.id);
             self.ledger.claim(hash, claim);
+            if self.manages_endpoint(&endpoint.id) {
+                self.room_share.record_start(now);
+            }
             if let Some(prefix) = endpoint.prefill.prefix_hash {
                 self.prefixes.record(now, prefix as PrefixHash, hash);
             }
@@ -155,6 +160,11 @@
         holders.unwrap_or_default()
     }
 
+    fn manages_endpoint(&self, id: &str) -> bool {
+        let endpoint = self.endpoints.get(id);
+        endpoint.is_some_and(|endpoint| self.is_capacity_managed(&endpoint.notice.service))
+    }
+
     /// Ends what [`Self::claim_capacity`] has counted.
     pub fn release_capacity(&mut self, endpoint: &ChosenEndpoint) {
         if let Some(claim) = endpoint.claim {
@@ -171,7 +181,7 @@
     ) -> Result<ChosenEndpoint, NoEndpoint> {
         let claim = capacity_claim(request);
         let holders = self.prefix_holders(now, &request.prompt);
-        let timed_request = self.timed_request(request);
+        let timed_request = self.timed_request(now, request);
         let settings = if request.service.engine.is_some() {
             &self.capacity.placement
         } else {
@@ -180,8 +190,14 @@
         let (with_room, candidates): (Vec<&EndpointState>, Vec<TimedCandidate<'_>>) = endpoints
             .iter()
             .map(|endpoint| (*endpoint, self.timed_candidate(now, endpoint, &holders)))
-            .filter(|(_, candidate)| self.has_room(candidate, request, claim))
+            .filter(|(_, candidate)| self.room_for(candidate, request, claim) >= 1.0)
             .unzip();
+        let free = candidates
+            .iter()
+            .map(|candidate| self.room_for(candidate, request, claim));
+        if !self.may_take_room(now, request, free.sum()) {
+            return Err(NoEndpoint::Full);
+        }
         let chosen =
             select_by_time(settings, &timed_request, &candidates).ok_or(NoEndpoint::Full)?;
         let candidate = &candidates[chosen];
@@ -194,25 +210,40 @@
         Ok(ChosenEndpoint::new(notice, prefill, Some(claim)))
     }
 
-    /// Whether the endpoint may take a call with `claim`. Plain services have no such bound: their
-    /// calls end sooner than entries can tell each other of them.
-    fn has_room(
+    /// Number of calls with `claim` that the endpoint may take. Plain services have no such bound:
+    /// their calls end sooner than entries can tell each other of them.
+    fn room_for(
         &self,
         candidate: &TimedCandidate<'_>,
         request: &SelectionRequest<'_>,
         claim: CapacityClaim,
-    ) -> bool {
-        request.service.engine.as_ref().is_none_or(|engine| {
+    ) -> f64 {
+        request.service.engine.as_ref().map_or(1.0, |engine| {
             let reserve = &self.capacity.reserve;
             let capacity = EndpointCapacity {
                 places: reserve.places(candidate.slots, request.limits.rank()),
                 tokens: engine.kv_tokens as f64,
             };
-            capacity.has_room(candidate.usage, claim)
+            capacity.room_among_entries(candidate.usage, claim)
         })
     }
 
-    fn timed_request(&self, request: &SelectionRequest<'_>) -> TimedRequest {
+    /// Whether this entry's part of the room for `free` calls allows the call.
+    fn may_take_room(&self, now: TimePoint, request: &SelectionRequest<'_>, free: f64) -> bool {
+        request.service.engine.is_none()
+            || request.limits == CapacityLimits::LastResort
+            || self.room_share.may_start(now, free, self.demand(now))
+    }
+
+    /// Demand for managed services, here and at the other entries.
+    pub(super) fn demand(&self, now: TimePoint) -> DemandShare {
+        DemandShare {
+            own: self.waiting_calls as f64 + self.room_share.starts_per_s(now),
+            peers: f64::from(self.peer_demand),
+        }
+    }
+
+    fn timed_request(&self, now: TimePoint, request: &SelectionRequest<'_>) -> TimedRequest {
         let prompt = &request.prompt;
         let prefill_ms = |tokens| self.prefill_ms(prompt.model_hash, tokens);
         TimedRequest {
@@ -225,6 +256,11 @@
                 ModelLane::Large => Some(true),
             },
             max_pause_ms: request.max_pause.as_secs_f64() * 1_000.0,
+            spread: if request.service.engine.is_some() {
+                self.room_share.spread(now, self.demand(now))
+            } else {
+                1
+            },
         }
     }
 
--- a/crates/entry/src/forward/load_exchange.rs
+++ b/crates/entry/src/forward/load_exchange.rs
@@ -117,7 +117,7 @@
         let slot_share = slot_share.filter(|_| is_managed);
         let load = slot_share.map(|slot_share| ManagedLoad {
             slot_share,
-            has_waiting: self.admission.has_waiting(),
+            has_waiting: self.admission.waiting_count() > 0,
         });
         exchange_interval(&self.load_exchange.settings, load)
     }
@@ -185,9 +185,14 @@
             last_leader = Some(leader.clone());
         }
         context.load_exchange.discard_reported_changes();
+        let waiting_calls = context.admission.waiting_count();
         let call = ShareCall {
             entry: Arc::clone(&context.name),
-            share: context.state().load_summary(requested_at),
+            share: {
+                let mut state = context.state();
+                state.waiting_calls = waiting_calls;
+                state.load_summary(requested_at)
+            },
         };
         let reply = rpc_client
             .call::<_, LoadSummary>(&leader, Method::Share, &call, EXCHANGE_TIMEOUT)
--- a/crates/entry/src/forward/outcomes.rs
+++ b/crates/entry/src/forward/outcomes.rs
@@ -96,6 +96,7 @@
             event_gap: self.large_model_event_gap.report(now),
             limits: self.stated_limits.statements(now),
             leaving: self.leaving.statements(now),
+            demand: self.demand(now).own.ceil() as u32,
             usage: self.ledger.report(),
             paces: self.pace_news.take_readings(now),
             speeds: self.pace_news.take_samples(),
@@ -138,6 +139,8 @@
         self.stated_limits.merge(now, &peers.limits);
         self.paces.merge(now, &peers.paces);
         self.speeds.set(&peers.speeds);
+        self.peer_demand = peers.demand;
+        self.room_share.renew(now);
         self.prefill_profile.set(&peers.prefills);
         self.prefixes.merge(now, &peers.prefixes);
         self.merge_answers(now, &peers.answers);
--- a/crates/entry/src/forward/state.rs
+++ b/crates/entry/src/forward/state.rs
@@ -11,9 +11,9 @@
     EndpointRateLimiter, EndpointRest, EventGapReport, EventGapTracker, HealthSettings, IdleGap,
     LeavingEndpoints, PaceReadings, PlacementSettings, PoolHealth, PrefillProfile,
     PrefillTimeEstimator, PrefixDirectory, QueueDelayEstimator, ReceivedSums, RolloutStage,
-    RolloutState, RouteDeclaration, RouteTable, RoutingRevision, RoutingUpdate, SegmentAdmission,
-    SegmentKnowledge, ServiceRetryBudget, ServiceRetrySettings, SessionVersions, SlowStartControl,
-    SpeedMeans, StatedLimits, TerminationHistory, WarmupCause, endpoint_hash,
+    RolloutState, RoomShare, RouteDeclaration, RouteTable, RoutingRevision, RoutingUpdate,
+    SegmentAdmission, SegmentKnowledge, ServiceRetryBudget, ServiceRetrySettings, SessionVersions,
+    SlowStartControl, SpeedMeans, StatedLimits, TerminationHistory, WarmupCause, endpoint_hash,
 };
 use chestnutloft_core::time::TimePoint;
 
@@ -79,6 +79,12 @@
     pub(super) capacity: CapacitySettings,
     /// Calls and tokens at endpoints, over all entries.
     pub(super) ledger: CapacityLedger,
+    /// Part of the free room that this entry may take.
+    pub(super) room_share: RoomShare,
+    /// Calls of managed services that wait at this entry.
+    pub(super) waiting_calls: usize,
+    /// Demand of the other entries for managed services.
+    pub(super) peer_demand: u32,
     /// Sums of the other entries as the aggregator has sent them.
     pub(super) received_sums: ReceivedSums,
     /// How long work takes at endpoints at this moment.
@@ -153,6 +159,9 @@
             limits: limits.clone(),
             capacity: settings.capacity.clone(),
             ledger: CapacityLedger::default(),
+            room_share: RoomShare::new(&settings.name),
+            waiting_calls: 0,
+            peer_demand: 0,
             received_sums: ReceivedSums::default(),
             paces: PaceReadings::default(),
             speeds: SpeedMeans::default(),
