--- a/crates/core/src/admission/class_reserve.rs
+++ b/crates/core/src/admission/class_reserve.rs
@@ -1,7 +1,7 @@
 //! Places that are kept for more urgent classes, also known as trunk reservation.
 //!
-//! Addresses loads in which less urgent calls fill every endpoint: a more urgent call would wait for
-//! one of them to end, and an answer that needs a larger model would be relayed as it is.
+//! Addresses loads in which calls to larger models fill every endpoint for seconds: calls to the
+//! smallest model would wait for one of them to end, and so would the more urgent ones.
 
 use serde::{Deserialize, Serialize};
 
@@ -14,10 +14,6 @@
 impl ClassRank {
     /// Rank of the most urgent class.
     pub const MOST_URGENT: Self = Self(0.0);
-    /// Rank between these.
-    pub const MIDDLE: Self = Self(0.5);
-    /// Rank of the least urgent class.
-    pub const LEAST_URGENT: Self = Self(1.0);
 
     /// Linear interpolation from `most_urgent` to `least_urgent`.
     pub fn interpolate(self, most_urgent: f64, least_urgent: f64) -> f64 {
@@ -34,16 +30,6 @@
     LastResort,
 }
 
-impl CapacityLimits {
-    /// Rank that the places at an endpoint are counted for.
-    pub fn rank(self) -> ClassRank {
-        match self {
-            Self::OfClass(rank) => rank,
-            Self::LastResort => ClassRank::MOST_URGENT,
-        }
-    }
-}
-
 /// Classes of the calls of one service.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ServiceClasses {
@@ -87,7 +73,7 @@
     }
 }
 
-/// Which part of an endpoint's places each class may use.
+/// Which part of an endpoint's places calls to larger models may use, by class.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct ClassReserve {
@@ -95,24 +81,32 @@
     /// freed slot is not idle until the next call arrives. Calls that wait there are out of reach
     /// of the order in which entries admit calls.
     pub waiting_share: f64,
-    /// Share of the slots that the least urgent class leaves free for the others.
-    pub reserved_share: f64,
+    /// Share of the slots that calls of the most urgent class to larger models may take. They run for
+    /// seconds and those of the smallest model for tens of milliseconds, which would wait for them.
+    pub large_share: f64,
+    /// The same for the least urgent class.
+    pub least_large_share: f64,
 }
 
 impl Default for ClassReserve {
     fn default() -> Self {
         Self {
             waiting_share: 0.125,
-            reserved_share: 0.125,
+            large_share: 0.75,
+            least_large_share: 0.5,
         }
     }
 }
 
 impl ClassReserve {
-    /// Calls that an endpoint with `slots` may hold for a call of `rank` to join them.
-    pub fn places(&self, slots: f64, rank: ClassRank) -> f64 {
-        let all = (slots * (1.0 + self.waiting_share)).ceil();
-        let unreserved = (slots * (1.0 - self.reserved_share)).floor().max(1.0);
-        rank.interpolate(all, unreserved).round()
+    /// Calls that an endpoint with `slots` may hold.
+    pub fn places(&self, slots: f64) -> f64 {
+        (slots * (1.0 + self.waiting_share)).ceil()
+    }
+
+    /// Calls to larger models among them, for one more of `rank`.
+    pub fn large_places(&self, slots: f64, rank: ClassRank) -> f64 {
+        let share = rank.interpolate(self.large_share, self.least_large_share);
+        (slots * share).ceil().max(1.0)
     }
 }
--- a/crates/core/src/routing/capacity_ledger.rs
+++ b/crates/core/src/routing/capacity_ledger.rs
@@ -91,6 +91,8 @@
 pub struct EndpointCapacity {
     /// Calls that it may hold, as far as the class of the call to place may use them.
     pub places: f64,
+    /// Calls to larger models that it may hold.
+    pub large_places: f64,
     /// Tokens that fit into its memory; 0 if unknown.
     pub tokens: f64,
 }
@@ -119,7 +121,10 @@
 
     /// Number of calls with this claim that an endpoint with `usage` may take.
     pub fn room_for(&self, usage: UsageSum, claim: CapacityClaim) -> f64 {
-        let places = (self.places - usage.calls).floor().max(0.0);
+        let mut places = (self.places - usage.calls).floor().max(0.0);
+        if claim.is_large {
+            places = places.min((self.large_places - usage.large_calls).floor().max(0.0));
+        }
         if self.tokens <= 0.0 {
             return places;
         }
--- a/crates/core/src/routing/escalation.rs
+++ b/crates/core/src/routing/escalation.rs
@@ -213,7 +213,8 @@
         let largest = self.costs.len().checked_sub(1)?;
         let is_late = answer.elapsed > answer.target_latency.mul_f64(self.settings.latest_share);
         // An answer after the target is worth less than one of the smaller model in time.
-        let is_too_slow = answer.elapsed + answer.expected_delay > answer.target_latency;
+        let is_too_slow = !answer.expected_delay.is_zero()
+            && answer.elapsed + answer.expected_delay > answer.target_latency;
         if answer.model_index >= largest || is_late || is_too_slow {
             return None;
         }
--- a/crates/core/src/routing/load_aggregation.rs
+++ b/crates/core/src/routing/load_aggregation.rs
@@ -61,8 +61,10 @@
     pub limits: Vec<LimitStatement>,
     /// Endpoints that have said that they leave.
     pub leaving: Vec<LeavingStatement>,
-    /// Calls that wait for, or are started per second at, services whose capacity is managed.
-    pub demand: u32,
+    /// Calls that wait for services whose capacity is managed.
+    pub waiting_calls: u32,
+    /// Calls started per second at such services.
+    pub starts_per_s: u32,
     /// Calls and tokens at endpoints whose capacity is managed.
     pub usage: Vec<EndpointUsage>,
     /// Readings of endpoints' pace that the receiver may not know yet.
@@ -152,8 +154,12 @@
         self.usage.add(&load.usage);
         let gaps = self.reports.values().map(|report| report.load.event_gap);
         let event_gap = gaps.fold(EventGapReport::default(), EventGapReport::merge);
-        let demands = self.reports.values().map(|report| report.load.demand);
-        let demand = demands.fold(0, u32::saturating_add);
+        let sum = |count: fn(&LoadSummary) -> u32| {
+            let counts = self.reports.values().map(|report| count(&report.load));
+            counts.fold(0, u32::saturating_add)
+        };
+        let waiting_calls = sum(|load| load.waiting_calls);
+        let starts_per_s = sum(|load| load.starts_per_s);
         for item in &load.work {
             *self.totals.entry(item.endpoint).or_default() += u64::from(item.work_ms);
         }
@@ -170,7 +176,8 @@
         self.reports.insert(Arc::clone(entry), report);
         LoadSummary {
             event_gap,
-            demand,
+            waiting_calls,
+            starts_per_s,
             limits,
             leaving,
             paces,
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -90,7 +90,7 @@
 pub use rate_limits::{LimitStatement, StatedLimits};
 pub use relay_memory::{RELAY_POOLS, RelayMemory, RelayNumber};
 pub use rollout::{RolloutOrder, RolloutStage, RolloutState, RolloutTiming};
-pub use room_share::{DemandShare, RoomShare};
+pub use room_share::{DemandShare, EntryDemand, RoomShare};
 pub use run_copies::{
     CopyAnswer, CopyDecision, CopyTarget, MovePlace, RunCopySettings, RunMove, RunOutlook,
     RunProgress, SourceState, TerminationHistory, decide_copy, select_copy_target,
--- a/crates/core/src/routing/prefill_profile.rs
+++ b/crates/core/src/routing/prefill_profile.rs
@@ -21,9 +21,9 @@
 const LENGTH_CLASSES: u32 = 6;
 /// Measurements of a class from which its mean is used.
 const MIN_COUNT: f64 = 3.0;
-/// Largest factor by which a measurement may exceed the mean. Longer ones include waiting that the
-/// entry did not know of.
-const MAX_EXCESS: f64 = 1.5;
+/// Largest factor by which a measurement may differ from the mean. Some include waiting, others cached
+/// tokens that the entry did not know of.
+const MAX_DEVIATION: f64 = 1.5;
 
 /// Prompts of similar length for one model.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -80,10 +80,12 @@
     pub fn sample(&self, model_hash: u64, tokens: f64, took: Duration) -> SpeedSample {
         let key = PromptClass::new(model_hash, tokens).key();
         let reference_ms = reference_ms(tokens);
-        let max_ms = self.means.ratio(key, MIN_COUNT);
-        let max_ms = max_ms.map_or(f64::INFINITY, |ratio| reference_ms * ratio * MAX_EXCESS);
-        let measured_ms = (took.as_secs_f64() * 1_000.0).min(max_ms);
-        SpeedSample::new(key, (measured_ms.max(1.0) / reference_ms).ln())
+        let measured_ms = (took.as_secs_f64() * 1_000.0).max(1.0);
+        let mut ratio = measured_ms / reference_ms;
+        if let Some(mean) = self.means.ratio(key, MIN_COUNT) {
+            ratio = ratio.clamp(mean / MAX_DEVIATION, mean * MAX_DEVIATION);
+        }
+        SpeedSample::new(key, ratio.ln())
     }
 }
 
--- a/crates/core/tests/routing/capacity_ledger.rs
+++ b/crates/core/tests/routing/capacity_ledger.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use chestnutloft_core::admission::{ClassRank, ClassReserve};
+use chestnutloft_core::admission::ClassReserve;
 use chestnutloft_core::routing::{
     CapacityClaim, CapacityLedger, EndpointCapacity, LoadAggregator, LoadSummary, UsageSum,
 };
@@ -36,9 +36,9 @@
     ledger.set_peers(now, &reply.usage);
 }
 
-/// Places of an endpoint with 12 slots for the most urgent class.
+/// Places of an endpoint with 12 slots.
 fn places() -> f64 {
-    ClassReserve::default().places(12.0, ClassRank::MOST_URGENT)
+    ClassReserve::default().places(12.0)
 }
 
 /// Guards against entries that each fill an endpoint, since they see their own calls only.
@@ -48,6 +48,7 @@
     let mut ledgers = vec![CapacityLedger::default(); 72];
     let capacity = EndpointCapacity {
         places: places(),
+        large_places: f64::INFINITY,
         tokens: 400_000.0,
     };
     let mut sent = 0;
@@ -72,6 +73,7 @@
 fn calls_never_exceed_the_memory_of_an_endpoint() {
     let capacity = EndpointCapacity {
         places: places(),
+        large_places: f64::INFINITY,
         tokens: 400_567.0,
     };
     let mut ledger = CapacityLedger::default();
@@ -92,6 +94,7 @@
 fn the_largest_call_runs_alone() {
     let capacity = EndpointCapacity {
         places: places(),
+        large_places: f64::INFINITY,
         tokens: 100_000.0,
     };
     let idle = UsageSum::default();
--- a/crates/core/tests/routing/load_fixture.rs
+++ b/crates/core/tests/routing/load_fixture.rs
@@ -7,12 +7,12 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 
-use chestnutloft_core::admission::{ClassRank, ClassReserve};
+use chestnutloft_core::admission::ClassReserve;
 use chestnutloft_core::routing::{
-    CapacityClaim, CapacityLedger, DemandShare, EndpointCapacity, LoadAggregator, LoadSummary,
-    PaceReading, PaceReadings, QueueDelayEstimator, RoomShare, SpeedMeans, SpeedSample,
-    TimedCandidate, TimedPlacementSettings, TimedRequest, UsageSum, endpoint_hash, select_by_time,
-    speed_sample,
+    CapacityClaim, CapacityLedger, DemandShare, EndpointCapacity, EntryDemand, LoadAggregator,
+    LoadSummary, PaceReading, PaceReadings, QueueDelayEstimator, RoomShare, SpeedMeans,
+    SpeedSample, TimedCandidate, TimedPlacementSettings, TimedRequest, UsageSum, endpoint_hash,
+    select_by_time, speed_sample,
 };
 use chestnutloft_core::time::TimePoint;
 
@@ -72,12 +72,13 @@
 impl PoolSettings {
     /// Calls that an endpoint may hold: those that run, and an eighth of the slots that waits.
     pub fn places(&self) -> usize {
-        ClassReserve::default().places(self.slots as f64, ClassRank::MOST_URGENT) as usize
+        ClassReserve::default().places(self.slots as f64) as usize
     }
 
     fn room_for(&self, usage: UsageSum, claim: CapacityClaim) -> f64 {
         let capacity = EndpointCapacity {
-            places: ClassReserve::default().places(self.slots as f64, ClassRank::MOST_URGENT),
+            places: ClassReserve::default().places(self.slots as f64),
+            large_places: f64::INFINITY,
             tokens: self.tokens,
         };
         capacity.room_among_entries(usage, claim)
@@ -141,7 +142,7 @@
     pub waiting: VecDeque<(u64, Call)>,
     ledger: CapacityLedger,
     room_share: RoomShare,
-    peer_demand: u32,
+    peer_demand: EntryDemand,
     delays: QueueDelayEstimator,
     paces: PaceReadings,
     speeds: SpeedMeans,
@@ -173,7 +174,8 @@
         let report = LoadSummary {
             work: self.delays.waiting_work(),
             usage: self.ledger.report(),
-            demand: self.demand(now_ms).own.ceil() as u32,
+            waiting_calls: self.waiting.len() as u32,
+            starts_per_s: self.room_share.starts_per_s(at(now_ms)).round() as u32,
             paces: readings.into_iter().map(aged).collect(),
             speeds: std::mem::take(&mut self.samples),
             ..LoadSummary::default()
@@ -183,7 +185,10 @@
         self.ledger.set_peers(now, &reply.usage);
         self.paces.merge(now, &reply.paces);
         self.speeds.set(&reply.speeds);
-        self.peer_demand = reply.demand;
+        self.peer_demand = EntryDemand {
+            waiting: f64::from(reply.waiting_calls),
+            starts_per_s: f64::from(reply.starts_per_s),
+        };
         self.room_share.renew(now);
         self.exchanged_ms = Some(now_ms);
         self.changed_ms = None;
@@ -191,8 +196,11 @@
 
     fn demand(&self, now_ms: u64) -> DemandShare {
         DemandShare {
-            own: self.waiting.len() as f64 + self.room_share.starts_per_s(at(now_ms)),
-            peers: f64::from(self.peer_demand),
+            own: EntryDemand {
+                waiting: self.waiting.len() as f64,
+                starts_per_s: self.room_share.starts_per_s(at(now_ms)),
+            },
+            peers: self.peer_demand,
         }
     }
 
@@ -488,11 +496,11 @@
     let free = candidates
         .iter()
         .map(|candidate| settings.room_for(candidate.usage, claim(call)));
-    if !entry.room_share.may_start(now, free.sum(), demand) {
+    if !entry.room_share.may_start(now, free.sum(), &demand) {
         return None;
     }
     let request = TimedRequest {
-        spread: entry.room_share.spread(now, demand),
+        spread: entry.room_share.spread(now, &demand),
         call_hash,
         suffix_ms: call.work_ms,
         max_pause_ms: 1_200.0,
--- a/crates/entry/src/forward/admission.rs
+++ b/crates/entry/src/forward/admission.rs
@@ -24,12 +24,9 @@
 /// Time after which a waiting call tries without an event: rests and rate limits end by the passing
 /// of time.
 const FALLBACK_INTERVAL: Duration = Duration::from_millis(100);
-/// Time for which an escalated call waits for a place at a larger model. The answer that it holds
-/// meanwhile is late if its first event reaches the caller 200 ms after it was sent.
+/// Time for which an escalated call waits for a place at a larger model. If there is none, its held
+/// answer has to reach the caller within 200 ms of its first event.
 const ESCALATION_WAIT: Duration = Duration::from_millis(120);
-/// Rank up to which an escalated call gives up the answer that it holds and waits longer. For less
-/// urgent classes, a place comes too rarely in a shortage.
-const MAX_WAITING_RANK: ClassRank = ClassRank::MIDDLE;
 /// Share of the time until its deadline that a call needs for its answer even if it may be late.
 const ANSWER_TIME_SHARE: f64 = 0.25;
 /// Work of a call that has no prompt, in milliseconds. Calls of such a service are alike, so the
@@ -110,7 +107,8 @@
         self.context.state().is_capacity_managed(service)
     }
 
-    /// Chooses an endpoint. If none accepts calls, waits for one, unless an answer is held.
+    /// Chooses an endpoint and counts the attempt there. If none accepts calls, waits for one; a call
+    /// of an unmanaged service that holds an answer does not wait.
     pub async fn choose_endpoint(&mut self) -> Result<AttemptGuard, CallRefusal> {
         let started_at = clock::now();
         let is_managed = self.is_capacity_managed();
@@ -167,7 +165,7 @@
     }
 
     /// Chooses an endpoint once it is the call's turn.
-    async fn choose_in_turn(&mut self) -> Result<AttemptGuard, CallRefusal> {
+    async fn choose_in_turn(&self) -> Result<AttemptGuard, CallRefusal> {
         let now = clock::now();
         let queued = self.queued_call(now);
         let service = &self.call.service.name;
@@ -195,7 +193,7 @@
 
     /// Tries when it is the call's turn, until its time is over.
     async fn wait_for_turn(
-        &mut self,
+        &self,
         place: QueuePlace,
         joined_at: TimePoint,
     ) -> Result<AttemptGuard, CallRefusal> {
@@ -223,18 +221,10 @@
                     }
                 }
             }
-            if self.is_hold_over(now, joined_at) {
-                self.discard_held_answer();
-            }
             may_try = place.wait(until.since(now).min(FALLBACK_INTERVAL)).await;
         }
     }
 
-    /// Whether the call, which waits since `joined_at`, gives up the answer that it holds.
-    fn is_hold_over(&self, now: TimePoint, joined_at: TimePoint) -> bool {
-        self.held_answer.is_some() && now.since(joined_at) >= ESCALATION_WAIT
-    }
-
     /// Prospect of the call, whose time to start is over once the entry shuts down.
     fn outlook(&self, now: TimePoint, place: &QueuePlace) -> WaitOutlook {
         if *self.context.refusing_calls.borrow() {
@@ -323,7 +313,7 @@
     /// attempt may start for a share of the target in any case, and not be queued as late: its
     /// caller has waited already.
     fn start_window(&self, now: TimePoint, first_event: Duration) -> StartWindow {
-        if self.held_answer.is_some() && self.class_rank() > MAX_WAITING_RANK {
+        if self.held_answer.is_some() {
             return StartWindow::until(now + ESCALATION_WAIT);
         }
         let target = self.call.latency_target();
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -177,6 +177,9 @@
                 .record_abandoned(now, &self.endpoint.id, call);
         }
         drop(state);
+        if self.is_managed {
+            self.context.load_exchange.notify_work_changed(true);
+        }
         self.context.capacity_changed.send_replace(());
         if !self.is_logged {
             spdlog::info!(
--- a/crates/entry/src/forward/capacity.rs
+++ b/crates/entry/src/forward/capacity.rs
@@ -6,9 +6,9 @@
 
 use chestnutloft_core::admission::CapacityLimits;
 use chestnutloft_core::routing::{
-    CapacityClaim, DemandShare, EndpointCapacity, EndpointHash, ModelLane, PaceReading, PrefixHash,
-    SpeedSample, TimedCandidate, TimedRequest, UsageSum, endpoint_hash, select_by_time,
-    speed_sample,
+    CapacityClaim, DemandShare, EndpointCapacity, EndpointHash, EntryDemand, ModelLane,
+    PaceReading, PrefixHash, SpeedSample, TimedCandidate, TimedRequest, UsageSum, endpoint_hash,
+    select_by_time, speed_sample,
 };
 use chestnutloft_core::time::TimePoint;
 
@@ -221,10 +221,17 @@
         request.service.engine.as_ref().map_or(1.0, |engine| {
             let reserve = &self.capacity.reserve;
             let capacity = EndpointCapacity {
-                places: reserve.places(candidate.slots, request.limits.rank()),
+                places: reserve.places(candidate.slots),
+                large_places: match request.limits {
+                    CapacityLimits::OfClass(rank) => reserve.large_places(candidate.slots, rank),
+                    CapacityLimits::LastResort => f64::INFINITY,
+                },
                 tokens: engine.kv_tokens as f64,
             };
-            capacity.room_among_entries(candidate.usage, claim)
+            match request.limits {
+                CapacityLimits::OfClass(_) => capacity.room_among_entries(candidate.usage, claim),
+                CapacityLimits::LastResort => capacity.room_for(candidate.usage, claim),
+            }
         })
     }
 
@@ -232,14 +239,17 @@
     fn may_take_room(&self, now: TimePoint, request: &SelectionRequest<'_>, free: f64) -> bool {
         request.service.engine.is_none()
             || request.limits == CapacityLimits::LastResort
-            || self.room_share.may_start(now, free, self.demand(now))
+            || self.room_share.may_start(now, free, &self.demand(now))
     }
 
     /// Demand for managed services, here and at the other entries.
     pub(super) fn demand(&self, now: TimePoint) -> DemandShare {
         DemandShare {
-            own: self.waiting_calls as f64 + self.room_share.starts_per_s(now),
-            peers: f64::from(self.peer_demand),
+            own: EntryDemand {
+                waiting: self.waiting_calls as f64,
+                starts_per_s: self.room_share.starts_per_s(now),
+            },
+            peers: self.peer_demand,
         }
     }
 
@@ -257,7 +267,7 @@
             },
             max_pause_ms: request.max_pause.as_secs_f64() * 1_000.0,
             spread: if request.service.engine.is_some() {
-                self.room_share.spread(now, self.demand(now))
+                self.room_share.spread(now, &self.demand(now))
             } else {
                 1
             },
--- a/crates/entry/src/forward/metrics.rs
+++ b/crates/entry/src/forward/metrics.rs
@@ -9,7 +9,6 @@
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, UpDownCounter};
 
-use chestnutloft_core::admission::ClassRank;
 use chestnutloft_core::routing::{PaceSource, ReadingCounts, UsageSum, endpoint_hash};
 use chestnutloft_core::time::TimePoint;
 use chestnutloft_wire::metrics::MetricsPage;
@@ -554,7 +553,7 @@
                 let (total, own) = (self.ledger.usage(now, hash), self.ledger.own_usage(hash));
                 let pace = self.paces.factor(now, hash);
                 let slots = f64::from(endpoint.notice.slots.max(1));
-                let places = self.capacity.reserve.places(slots, ClassRank::MOST_URGENT);
+                let places = self.capacity.reserve.places(slots);
                 capacity.add(places, total, own, pace);
             }
         }
--- a/crates/entry/src/forward/outcomes.rs
+++ b/crates/entry/src/forward/outcomes.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use chestnutloft_core::routing::{
-    ArmCount, ArmKey, EndpointPhase, EndpointProcess, LoadSummary, QueueState, WaitingWork,
-    WarmupCause, endpoint_hash,
+    ArmCount, ArmKey, EndpointPhase, EndpointProcess, EntryDemand, LoadSummary, QueueState,
+    WaitingWork, WarmupCause, endpoint_hash,
 };
 use chestnutloft_core::time::TimePoint;
 
@@ -58,7 +58,8 @@
             self.record_speed(now, endpoint, took);
         }
         let took = prefill.usual_time(took);
-        if endpoint.claim.is_some() && prefill.queue_state() == QueueState::Idle {
+        let has_prompt = endpoint.claim.is_some() && prefill.uncached_tokens > 0.0;
+        if has_prompt && prefill.queue_state() == QueueState::Idle {
             self.record_prefill(prefill, took);
         }
         self.queue_delays
@@ -96,7 +97,8 @@
             event_gap: self.large_model_event_gap.report(now),
             limits: self.stated_limits.statements(now),
             leaving: self.leaving.statements(now),
-            demand: self.demand(now).own.ceil() as u32,
+            waiting_calls: self.waiting_calls as u32,
+            starts_per_s: self.room_share.starts_per_s(now).round() as u32,
             usage: self.ledger.report(),
             paces: self.pace_news.take_readings(now),
             speeds: self.pace_news.take_samples(),
@@ -139,7 +141,10 @@
         self.stated_limits.merge(now, &peers.limits);
         self.paces.merge(now, &peers.paces);
         self.speeds.set(&peers.speeds);
-        self.peer_demand = peers.demand;
+        self.peer_demand = EntryDemand {
+            waiting: f64::from(peers.waiting_calls),
+            starts_per_s: f64::from(peers.starts_per_s),
+        };
         self.room_share.renew(now);
         self.prefill_profile.set(&peers.prefills);
         self.prefixes.merge(now, &peers.prefixes);
--- a/crates/entry/src/forward/settings.rs
+++ b/crates/entry/src/forward/settings.rs
@@ -245,7 +245,8 @@
         }
         for (name, share) in [
             ("waiting_share", self.reserve.waiting_share),
-            ("reserved_share", self.reserve.reserved_share),
+            ("large_share", self.reserve.large_share),
+            ("least_large_share", self.reserve.least_large_share),
         ] {
             expect(
                 (0.0..=1.0).contains(&share),
--- a/crates/entry/src/forward/state.rs
+++ b/crates/entry/src/forward/state.rs
@@ -8,12 +8,13 @@
 use chestnutloft_core::admission::{ClassRank, PriorityClass};
 use chestnutloft_core::routing::{
     ArmCount, ArmKey, CapacityLedger, EndpointHash, EndpointNotice, EndpointPhase, EndpointProcess,
-    EndpointRateLimiter, EndpointRest, EventGapReport, EventGapTracker, HealthSettings, IdleGap,
-    LeavingEndpoints, PaceReadings, PlacementSettings, PoolHealth, PrefillProfile,
-    PrefillTimeEstimator, PrefixDirectory, QueueDelayEstimator, ReceivedSums, RolloutStage,
-    RolloutState, RoomShare, RouteDeclaration, RouteTable, RoutingRevision, RoutingUpdate,
-    SegmentAdmission, SegmentKnowledge, ServiceRetryBudget, ServiceRetrySettings, SessionVersions,
-    SlowStartControl, SpeedMeans, StatedLimits, TerminationHistory, WarmupCause, endpoint_hash,
+    EndpointRateLimiter, EndpointRest, EntryDemand, EventGapReport, EventGapTracker,
+    HealthSettings, IdleGap, LeavingEndpoints, PaceReadings, PlacementSettings, PoolHealth,
+    PrefillProfile, PrefillTimeEstimator, PrefixDirectory, QueueDelayEstimator, ReceivedSums,
+    RolloutStage, RolloutState, RoomShare, RouteDeclaration, RouteTable, RoutingRevision,
+    RoutingUpdate, SegmentAdmission, SegmentKnowledge, ServiceRetryBudget, ServiceRetrySettings,
+    SessionVersions, SlowStartControl, SpeedMeans, StatedLimits, TerminationHistory, WarmupCause,
+    endpoint_hash,
 };
 use chestnutloft_core::time::TimePoint;
 
@@ -84,7 +85,7 @@
     /// Calls of managed services that wait at this entry.
     pub(super) waiting_calls: usize,
     /// Demand of the other entries for managed services.
-    pub(super) peer_demand: u32,
+    pub(super) peer_demand: EntryDemand,
     /// Sums of the other entries as the aggregator has sent them.
     pub(super) received_sums: ReceivedSums,
     /// How long work takes at endpoints at this moment.
@@ -161,7 +162,7 @@
             ledger: CapacityLedger::default(),
             room_share: RoomShare::new(&settings.name),
             waiting_calls: 0,
-            peer_demand: 0,
+            peer_demand: EntryDemand::default(),
             received_sums: ReceivedSums::default(),
             paces: PaceReadings::default(),
             speeds: SpeedMeans::default(),
