Spread calls by the calls that one endpoint takes at the same time

Cause: calls were spread over as many endpoints as all entries start calls, 50 of 90 on B, slow ones included, although an endpoint takes several calls at once.

Change: the number of endpoints is that of the calls divided by an eighth of the slots.

--- a/crates/core/src/routing/room_share.rs
+++ b/crates/core/src/routing/room_share.rs
@@ -21,6 +21,8 @@
 /// Longest time for which the others' starts are estimated. Calls that were started earlier have ended
 /// for the most part.
 const MAX_BLIND_TIME: Duration = Duration::from_millis(500);
+/// Calls that may be started at an endpoint at the same time, as a share of its slots.
+const JOINT_START_SHARE: f64 = 0.125;
 /// Half-life of the measured rate of starts.
 const RATE_HALF_LIFE: Duration = Duration::from_secs(1);
 /// Time from the report of an entry until the others have received it and the calls that they have
@@ -136,11 +138,13 @@
         free >= 1.0 && (started + 1.0 <= whole || has_fraction)
     }
 
-    /// Number of endpoints over which calls are spread: the others start as many calls before this
-    /// entry hears of them, and all would choose the one that the sums show as best.
-    pub fn spread(&self, now: TimePoint, demand: &DemandShare) -> usize {
+    /// Number of endpoints with `slots` over which calls are spread: the others start calls before
+    /// this entry hears of them, and all would choose the one that the sums show as best. A few calls
+    /// more at an endpoint harm less than a slow endpoint.
+    pub fn spread(&self, now: TimePoint, demand: &DemandShare, slots: f64) -> usize {
         let starts = demand.peers.starts_per_s * self.blind_time(now).as_secs_f64();
-        (starts * self.peer_weight(now)).ceil().max(1.0) as usize
+        let endpoints = starts * self.peer_weight(now) / (slots * JOINT_START_SHARE).max(1.0);
+        endpoints.ceil().max(1.0) as usize
     }
 
     /// Time in which others may have started calls that the sums do not contain.
