Test class reserve, room shares, prefill profile and escalation by class

Cause: these decisions, room for claims, endpoints for long prompts and the spread of calls were added without tests of their own. Change: tests without a network, each with the failure it guards against.

--- a/crates/core/tests/routing/capacity_ledger.rs
+++ b/crates/core/tests/routing/capacity_ledger.rs
@@ -159,3 +159,49 @@
     assert_eq!(ledger.report(), vec![]);
     assert_eq!(ledger.usage(at(0), ENDPOINT), UsageSum::default());
 }
+
+/// An endpoint with a memory of `tokens`, and calls there that take 40,000 tokens each.
+fn endpoint(tokens: f64, calls: f64) -> (EndpointCapacity, UsageSum) {
+    let places = places();
+    let mut usage = UsageSum::default();
+    (usage.calls, usage.tokens) = (calls, calls * 40_000.0);
+    (EndpointCapacity { places, tokens }, usage)
+}
+
+/// Guards against a share that is taken of free places where the memory is exceeded first, or of free
+/// memory where no place is left.
+#[test]
+fn room_is_limited_by_places_and_by_memory() {
+    let room = |memory, calls, tokens| {
+        let (capacity, usage) = endpoint(memory, calls);
+        capacity.room_for(usage, claim(tokens)) as u32
+    };
+
+    assert_eq!(room(0.0, 4.0, 50_000.0), 10, "the memory is unknown");
+    assert_eq!(room(400_000.0, 4.0, 1_000.0), 10);
+    assert_eq!(room(400_000.0, 4.0, 90_000.0), 2);
+    assert_eq!(room(400_000.0, 9.0, 1_000.0), 0);
+    assert_eq!(room(4_000_000.0, 15.0, 1_000.0), 0);
+    assert_eq!(room(400_000.0, 0.0, 380_000.0), 1, "it runs alone");
+}
+
+/// Guards against an endpoint that ends because two entries send a long prompt there by the same
+/// sums, and against a margin that keeps short calls from endpoints with room.
+#[test]
+fn two_entries_that_send_a_large_call_at_once_stay_within_the_memory() {
+    for calls in 1..10 {
+        let (capacity, usage) = endpoint(400_000.0, f64::from(calls));
+        let room = |tokens| capacity.room_among_entries(usage, claim(tokens)) as u32;
+        for tokens in [30_000.0, 60_000.0, 150_000.0] {
+            let sent = if room(tokens) >= 1 { 2.0 } else { 0.0 };
+            assert!(
+                usage.tokens + sent * tokens <= capacity.tokens,
+                "{usage:?}, {tokens}"
+            );
+        }
+        assert_eq!(
+            room(15_000.0),
+            capacity.room_for(usage, claim(15_000.0)) as u32
+        );
+    }
+}
--- a/crates/core/tests/routing/escalation.rs
+++ b/crates/core/tests/routing/escalation.rs
@@ -1,8 +1,9 @@
 use std::time::Duration;
 
+use chestnutloft_core::admission::ClassRank;
 use chestnutloft_core::routing::{
-    CallTokens, EscalationCandidate, EscalationPolicy, EscalationSettings, EventGapTracker,
-    IdleGap, PoolLoad,
+    CallTokens, ClassLoadBounds, EscalationCandidate, EscalationPolicy, EscalationSettings,
+    EventGapTracker, FirstDelays, IdleGap, PoolLoad,
 };
 use chestnutloft_core::time::TimePoint;
 
@@ -203,3 +204,70 @@
     assert_eq!(now.mean(), Duration::from_millis(200));
     assert_eq!(later.entries, 0);
 }
+
+/// Guards against less urgent calls that take the time of the largest model in a filling pool, so
+/// that more urgent ones are relayed unchanged.
+#[test]
+fn in_a_filling_pool_the_least_urgent_class_stops_escalating_first() {
+    let escalates = |rank, load: f64| {
+        let bounds = ClassLoadBounds::default().of_rank(rank);
+        let mut settings = EscalationSettings::default();
+        (settings.busy_load, settings.full_load) = (bounds.busy, bounds.full);
+        let policy = EscalationPolicy::new(settings, COSTS.to_vec());
+        let pool = PoolLoad {
+            utilization: load,
+            ..IDLE
+        };
+        policy
+            .next_model(&candidate(0, Some(20.0), EARLY), pool)
+            .is_some()
+    };
+    let loads = [0.3, 0.7, 1.0, 1.3];
+
+    let of_rank = |rank| loads.map(|load| escalates(rank, load));
+
+    assert_eq!(of_rank(ClassRank::MOST_URGENT), [true, true, true, false]);
+    assert_eq!(of_rank(ClassRank::MIDDLE), [true, true, false, false]);
+    assert_eq!(
+        of_rank(ClassRank::LEAST_URGENT),
+        [true, false, false, false]
+    );
+}
+
+/// Guards against an answer in time that is discarded for one that can only be late, where prompts
+/// take long to process or wait behind others.
+#[test]
+fn an_escalation_whose_answer_could_only_be_late_is_not_made() {
+    let mut answer = candidate(0, Some(20.0), EARLY);
+
+    for (delay, next) in [
+        (Duration::from_millis(1_900), Some(2)),
+        (TARGET_LATENCY, None),
+    ] {
+        answer.expected_delay = delay;
+        assert_eq!(policy(3).next_model(&answer, IDLE), next);
+    }
+}
+
+/// Guards against long prompts that the smallest model reads first, which leaves too little time for
+/// the largest one, and against calls that start with the largest model in a full pool.
+#[test]
+fn call_starts_with_the_largest_model_if_there_is_no_time_for_both() {
+    let first = |smallest, largest, load| {
+        let delays = FirstDelays {
+            smallest: Duration::from_millis(smallest),
+            largest: Duration::from_millis(largest),
+            target_latency: TARGET_LATENCY,
+        };
+        let pool = PoolLoad {
+            utilization: load,
+            ..IDLE
+        };
+        policy(3).first_model(&delays, pool)
+    };
+
+    assert_eq!(first(700, 1_500, 0.1), 2);
+    assert_eq!(first(300, 1_500, 0.1), 0, "there is time for both");
+    assert_eq!(first(700, 1_950, 0.1), 0, "the largest would be late");
+    assert_eq!(first(700, 1_500, 1.1), 0, "the pool is full");
+}
--- a/crates/core/tests/routing/timed_placement.rs
+++ b/crates/core/tests/routing/timed_placement.rs
@@ -241,3 +241,77 @@
     );
     assert!(in_time(&timed) > in_time(&reference));
 }
+
+/// Calls at each of 90 endpoints after `calls` short ones that do not end, and the calls at the
+/// endpoint that a long prompt then gets.
+fn fill(calls: u64) -> (Vec<f64>, f64) {
+    let ids: Vec<String> = (0..90).map(|index| format!("endpoint-{index}")).collect();
+    let mut candidates: Vec<_> = ids.iter().map(|id| candidate(id)).collect();
+    for call in 0..calls {
+        let chosen = select(&request(call), &candidates);
+        candidates[chosen].usage.calls += 1.0;
+    }
+    let mut long = request(calls);
+    long.suffix_ms = 2_000.0;
+    let of_long = candidates[select(&long, &candidates)].usage.calls;
+    let counts = candidates.iter().map(|candidate| candidate.usage.calls);
+    (counts.collect(), of_long)
+}
+
+/// Guards against long prompts that stop the streams of short calls since each endpoint has some, and
+/// against short calls that wait for a slot while endpoints for long prompts have free ones.
+#[test]
+fn short_calls_leave_endpoints_free_for_long_prompts_until_the_pool_is_full() {
+    let (calls, of_long) = fill(270);
+    let (full, _) = fill(1_080);
+
+    assert!(
+        calls.iter().filter(|calls| **calls < 1.0).count() >= 9,
+        "{calls:?}"
+    );
+    assert!(of_long < 1.0, "{of_long}");
+    assert!(full.iter().all(|calls| *calls >= 10.0), "{full:?}");
+}
+
+/// Guards against the same where the other endpoints have capacity, but not much.
+#[test]
+fn half_full_pool_leaves_endpoints_free_for_long_prompts() {
+    let (calls, of_long) = fill(540);
+
+    assert!(
+        of_long < 1.0,
+        "{of_long} calls beside the long prompt, {calls:?}"
+    );
+}
+
+/// Guards against calls of many entries that all choose the best endpoint by the same old sums, and
+/// against a spread that takes worse endpoints than it has to, or gives up a cached prefix.
+#[test]
+fn calls_are_spread_over_the_best_endpoints() {
+    let mut candidates = ["a", "b", "c", "d"].map(candidate);
+    for (index, candidate) in candidates.iter_mut().enumerate() {
+        candidate.wait_ms = index as f64 * 100.0;
+    }
+    let chosen = |candidates: &[TimedCandidate<'_>], spread| {
+        let mut chosen = [0; 4];
+        for call in 0..900 {
+            let spread_request = TimedRequest {
+                spread,
+                ..request(call)
+            };
+            chosen[select(&spread_request, candidates)] += 1;
+        }
+        chosen
+    };
+
+    let of_three = chosen(&candidates, 3);
+
+    assert_eq!(chosen(&candidates, 1), [900, 0, 0, 0]);
+    assert!(
+        of_three[..3].iter().all(|calls| *calls > 240),
+        "{of_three:?}"
+    );
+    assert_eq!(of_three[3], 0);
+    candidates[0].has_prefix = true;
+    assert_eq!(chosen(&candidates, 3), [900, 0, 0, 0]);
+}
