--- a/crates/core/src/admission/class_reserve.rs
+++ b/crates/core/src/admission/class_reserve.rs
@@ -14,6 +14,10 @@
 impl ClassRank {
     /// Rank of the most urgent class.
     pub const MOST_URGENT: Self = Self(0.0);
+    /// Rank between the most and the least urgent class.
+    pub const MIDDLE: Self = Self(0.5);
+    /// Rank of the least urgent class.
+    pub const LEAST_URGENT: Self = Self(1.0);
 
     /// Linear interpolation from `most_urgent` to `least_urgent`.
     pub fn interpolate(self, most_urgent: f64, least_urgent: f64) -> f64 {
--- a/crates/core/src/routing/room_share.rs
+++ b/crates/core/src/routing/room_share.rs
@@ -21,8 +21,6 @@
 /// Longest time for which the others' starts are estimated. Calls that were started earlier have ended
 /// for the most part.
 const MAX_BLIND_TIME: Duration = Duration::from_millis(500);
-/// Calls that may be started at an endpoint at the same time, as a share of its slots.
-const JOINT_START_SHARE: f64 = 0.125;
 /// Half-life of the measured rate of starts.
 const RATE_HALF_LIFE: Duration = Duration::from_secs(1);
 /// Time from the report of an entry until the others have received it and the calls that they have
@@ -138,13 +136,11 @@
         free >= 1.0 && (started + 1.0 <= whole || has_fraction)
     }
 
-    /// Number of endpoints with `slots` over which calls are spread: the others start calls before
-    /// this entry hears of them, and all would choose the one that the sums show as best. A few calls
-    /// more at an endpoint harm less than a slow endpoint.
-    pub fn spread(&self, now: TimePoint, demand: &DemandShare, slots: f64) -> usize {
+    /// Number of endpoints over which calls are spread: the others start as many calls before this
+    /// entry hears of them, and all would choose the one that the sums show as best.
+    pub fn spread(&self, now: TimePoint, demand: &DemandShare) -> usize {
         let starts = demand.peers.starts_per_s * self.blind_time(now).as_secs_f64();
-        let endpoints = starts * self.peer_weight(now) / (slots * JOINT_START_SHARE).max(1.0);
-        endpoints.ceil().max(1.0) as usize
+        (starts * self.peer_weight(now)).ceil().max(1.0) as usize
     }
 
     /// Time in which others may have started calls that the sums do not contain.
@@ -164,8 +160,8 @@
         let age = now.since(self.renewed_at).as_secs_f64();
         let first = FIRST_ROUND.as_secs_f64();
         let doubling_rounds = (age / first + 1.0).log2();
-        let constant_rounds = age / MAX_ROUND.as_secs_f64();
-        doubling_rounds.max(constant_rounds) as u32
+        let constant_rounds = now.since(self.renewed_at).as_micros() / MAX_ROUND.as_micros();
+        (doubling_rounds as u32).max(constant_rounds as u32)
     }
 
     /// A number from 0 to 1 that differs between entries and rounds.
--- a/crates/core/src/routing/timed_placement.rs
+++ b/crates/core/src/routing/timed_placement.rs
@@ -19,8 +19,8 @@
     /// of the calls: a few calls hardly slow each other down.
     pub full_ms: f64,
     /// Share of the endpoints that are preferred for long prompts. A long prompt delays all streams of
-    /// its endpoint by more than their callers accept, so other calls leave these endpoints free as
-    /// long as the others have capacity.
+    /// its endpoint by more than their callers accept, so other calls leave these endpoints free in a
+    /// pool that is lightly loaded.
     pub long_prompt_share: f64,
     /// Time added to a call without a long prompt by such an endpoint, in milliseconds.
     pub long_prompt_ms: f64,
--- a/crates/entry/src/forward/capacity.rs
+++ b/crates/entry/src/forward/capacity.rs
@@ -266,10 +266,11 @@
                 ModelLane::Large => Some(true),
             },
             max_pause_ms: request.max_pause.as_secs_f64() * 1_000.0,
-            spread: request.service.engine.as_ref().map_or(1, |engine| {
-                let slots = f64::from(engine.slots);
-                self.room_share.spread(now, &self.demand(now), slots)
-            }),
+            spread: if request.service.engine.is_some() {
+                self.room_share.spread(now, &self.demand(now))
+            } else {
+                1
+            },
         }
     }
 
