--- a/crates/core/src/routing/timed_placement.rs
+++ b/crates/core/src/routing/timed_placement.rs
@@ -47,6 +47,9 @@
     pub equal_share: f64,
     /// Costs that differ by less than this count as equal, in milliseconds.
     pub equal_ms: f64,
+    /// Most that the endpoints over which calls are spread may cost beyond the best one, in
+    /// milliseconds. A slow endpoint costs a call more than a few others at the best one do.
+    pub spread_ms: f64,
 }
 
 impl Default for TimedPlacementSettings {
@@ -64,6 +67,7 @@
             trial_ms: 200.0,
             equal_share: 0.15,
             equal_ms: 12.0,
+            spread_ms: 150.0,
         }
     }
 }
@@ -148,7 +152,8 @@
     }
     let avoidable_ms = (costs[least] - request.prefill_ms(true)).max(0.0);
     let equal_limit = costs[least] + avoidable_ms * settings.equal_share + settings.equal_ms;
-    let limit = equal_limit.max(spread_limit(request, candidates, &costs));
+    let spread_limit = spread_limit(request, candidates, &costs);
+    let limit = equal_limit.max(spread_limit.min(costs[least] + settings.spread_ms));
     let weight = rendezvous_key(&request.call_hash.to_le_bytes());
     let spread = |index: &usize| weight(candidates[*index].id.as_bytes());
     let equal = (0..candidates.len())
--- a/crates/entry/src/forward/settings.rs
+++ b/crates/entry/src/forward/settings.rs
@@ -209,6 +209,7 @@
                 ("remote_ms", weights.remote_ms),
                 ("trial_ms", weights.trial_ms),
                 ("equal_ms", weights.equal_ms),
+                ("spread_ms", weights.spread_ms),
             ];
             for (name, millis) in times {
                 expect(
