Count the room of an endpoint once per choice, and build the escalation policy in one place

Cause: a choice counted the room of each endpoint twice, the escalation policy was built by the same expression in two functions, and AttemptGuard had two adjacent impl blocks.

Change: one count, one method, one block. Behaviour is the same: the room is a whole number, so that endpoints without room add nothing to the sum.

--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -137,9 +137,7 @@
             unanswered: lost_call(call),
         }
     }
-}
 
-impl AttemptGuard {
     /// Marks the outcome of the attempt as logged: a response, a failure, or an escalation to a
     /// larger model. A guard dropped without it logs that the call was cancelled.
     pub fn mark_logged(&mut self) {
--- a/crates/entry/src/forward/capacity.rs
+++ b/crates/entry/src/forward/capacity.rs
@@ -187,15 +187,17 @@
         } else {
             &self.capacity.plain_placement
         };
+        let mut free = 0.0;
         let (with_room, candidates): (Vec<&EndpointState>, Vec<TimedCandidate<'_>>) = endpoints
             .iter()
             .map(|endpoint| (*endpoint, self.timed_candidate(now, endpoint, &holders)))
-            .filter(|(_, candidate)| self.room_for(candidate, request, claim) >= 1.0)
+            .filter(|(_, candidate)| {
+                let room = self.room_for(candidate, request, claim);
+                free += room;
+                room >= 1.0
+            })
             .unzip();
-        let free = candidates
-            .iter()
-            .map(|candidate| self.room_for(candidate, request, claim));
-        if !self.may_take_room(now, request, free.sum()) {
+        if !self.may_take_room(now, request, free) {
             return Err(NoEndpoint::Full);
         }
         let chosen =
--- a/crates/entry/src/forward/escalation.rs
+++ b/crates/entry/src/forward/escalation.rs
@@ -59,7 +59,7 @@
         if !self.context.state().segments.may_repeat(segments) {
             return None;
         }
-        let policy = EscalationPolicy::new(self.escalation_settings(), self.model_costs());
+        let policy = self.escalation_policy();
         let pool = self.context.state().pool_load(now, &self.call.service.name);
         let confidence = response.head.confidence;
         let largest = self.call.route.models.len().saturating_sub(1);
@@ -99,7 +99,7 @@
         if !is_model_free || !self.is_capacity_managed() {
             return;
         }
-        let policy = EscalationPolicy::new(self.escalation_settings(), self.model_costs());
+        let policy = self.escalation_policy();
         let pool = self.context.state().pool_load(now, &self.call.service.name);
         let delays = FirstDelays {
             smallest: self.expected_delay(0, pool),
@@ -130,6 +130,10 @@
         pool.queue_delay + Duration::from_secs_f64(prefill_ms / 1_000.0)
     }
 
+    fn escalation_policy(&self) -> EscalationPolicy {
+        EscalationPolicy::new(self.escalation_settings(), self.model_costs())
+    }
+
     /// Settings by which the call is escalated.
     fn escalation_settings(&self) -> EscalationSettings {
         let settings = self.context.escalation.clone();
