Review: a client that names an unknown model takes all model workers out of use

One client asks for a model that the workers don't run, and gets 421 from them, nine requests in all. Both entries then use none of the workers any more, although all are healthy: no proper request is served, for as long as the script looks.

The stand-ins have got model workers.

--- a/review/stand-2/harness.py
+++ b/review/stand-2/harness.py
@@ -453,10 +453,12 @@
     say. Keeps the outcome of every request."""
 
     def __init__(self, platform, record, fronts, host, path, method="GET", per_s=20.0,
-                 deadline_ms=2500, key=None, retries=1):
+                 deadline_ms=2500, key=None, retries=1, headers=None, is_repeatable=None):
         self.platform, self.record, self.fronts = platform, record, fronts
         self.host, self.path, self.method, self.per_s = host, path, method, per_s
         self.deadline_ms, self.key, self.retries = deadline_ms, key, retries
+        self.headers = headers or {}
+        self.is_repeatable = method == "GET" if is_repeatable is None else is_repeatable
         self.outcomes = []
         self.lock = threading.Lock()
         self.is_closing = False
@@ -477,7 +479,7 @@
         """One client attempt; returns id, status, headers and body."""
         call_id = uuid.uuid4().hex[:16]
         left = max(0.05, deadline - time.monotonic())
-        headers = {"Host": self.host, "X-Request-Id": call_id, "X-Deadline-Ms": str(int(left * 1000))}
+        headers = {"Host": self.host, "X-Request-Id": call_id, "X-Deadline-Ms": str(int(left * 1000)), **self.headers}
         if self.key:
             headers["Authorization"] = f"Bearer {self.key}"
         address = f"{front.ip}:{self.platform.front_port}"
@@ -493,13 +495,12 @@
         status, call_id = 0, ""
         for turn in range(1 + self.retries):
             front = random.choice(self.fronts)
-            call_id, status, fields, answer = self.attempt(front, deadline)
-            is_whole = answer.endswith(call_id.encode()) and "X-Response-Seal" in {
-                name.title().replace("Id", "Id"): value for name, value in fields.items()}
+            call_id, status, fields, _ = self.attempt(front, deadline)
             if status == 200 or status in (400, 401, 404, 413, 431):
                 break
-            may_retry = self.method == "GET" or status in (408, 421, 429, 503)
-            wait = float(fields.get("retry-after") or fields.get("Retry-After") or 0.05)
+            may_retry = self.is_repeatable or status in (408, 421, 429, 503)
+            fields = {name.lower(): value for name, value in fields.items()}
+            wait = float(fields.get("retry-after") or 0.05)
             left = deadline - time.monotonic()
             if turn == self.retries or not may_retry or left <= 0:
                 break
@@ -545,3 +546,61 @@
 
 def has_trouble():
     return os.environ.get("TROUBLE", "1") != "0"
+
+
+MODELS = ["small-1", "large-1"]
+
+
+class ModelWorker(Worker):
+    """A worker that runs models: answers a stream of events with increasing ids."""
+
+    events = 6
+    gap_s = 0.02
+
+    def run(self, request, call_id, body):
+        self.record.write(f"worker {self.id}: runs {call_id}")
+        first = int(request.headers.get("Last-Event-Id") or 0) + 1
+        try:
+            request.send_response(200)
+            for name, value in {"X-Request-Id": call_id, "X-Response-Seal": f"seal.{call_id}",
+                                "X-Confidence": "100", "Content-Type": "text/event-stream",
+                                "X-Server-Load": f"{self.running},0,{self.slots}",
+                                "Transfer-Encoding": "chunked"}.items():
+                request.send_header(name, value)
+            request.end_headers()
+            for number in range(first, self.events + 1):
+                time.sleep(self.gap_s)
+                event = f"id: {number}\ndata: {self.id} {call_id}\n\n".encode()
+                request.wfile.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+                request.wfile.flush()
+            request.wfile.write(b"0\r\n\r\n")
+            request.wfile.flush()
+        except OSError:
+            request.close_connection = True
+
+    def answer(self, request):
+        call_id = request.headers.get("X-Request-Id")
+        is_own = request.headers.get("X-Expect-Instance", self.id) == self.id
+        if call_id and is_own and request.headers.get("X-Model") not in MODELS:
+            length = int(request.headers.get("Content-Length") or 0)
+            request.rfile.read(length)
+            self.record.write(f"worker {self.id}: 421 to {call_id}, model {request.headers.get('X-Model')}")
+            self.reply(request, 421, b"", {"X-Not-Executed": "1", "X-Request-Id": call_id})
+            return
+        super().answer(request)
+
+    def notice(self):
+        return {**super().notice(), "stage": "both",
+                "models": [{"name": name, "version": 1, "adapters": []} for name in MODELS]}
+
+
+def model_service(name):
+    return service_rule(name, engine={
+        "slots": 64, "kvCapacityTokens": 469210, "kvTokenBytes": 18432, "linkMbps": 130000.0,
+        "moves": True, "backups": True, "stride": 7, "most": 12, "pinMs": 4000.0, "holdMs": 2000.0,
+        "handleTtlS": 5.0, "models": [{"name": MODELS[0], "cost": 0.018}, {"name": MODELS[1], "cost": 0.27}]})
+
+
+def model_route(name, prefix, service):
+    return route_rule(name, prefix, service, "stream", sizes=MODELS, resumable=True, sticky=True,
+                      maxAttempts=3, timeoutMs=5000, targetLatencyMs=2000, targetGapMs=1500)
