--- a/review/stand-2/harness.py
+++ b/review/stand-2/harness.py
@@ -13,6 +13,7 @@
 import shutil
 import signal
 import socket
+import socketserver
 import subprocess
 import tempfile
 import threading
@@ -368,6 +369,11 @@
             def handle_error(self, *_):
                 pass
 
+            def server_bind(self):
+                # Without the look-up of the host's name, for which there may be no network.
+                socketserver.TCPServer.server_bind(self)
+                self.server_name, self.server_port = self.server_address[:2]
+
         self.server = Server((ip, 0), Handler)
         self.address = f"{ip}:{self.server.server_address[1]}"
         threading.Thread(target=self.server.serve_forever, args=(0.05,), daemon=True).start()
