Review: case 6 in a simpler form, without any lost disk

Three machines of the core are replaced as planned, the successors first. The three old ones get SIGTERM within 2 s, and no quorum exists any more, although five keepers with the whole log run.

--- a/review/6/run.py
+++ b/review/6/run.py
@@ -1,7 +1,6 @@
-"""A machine of the core is replaced as planned; then two others lose their disks."""
+"""Three machines of the core are replaced as planned: the successors first, then SIGTERM to the old ones."""
 
 import os
-import signal
 import sys
 import threading
 import time
@@ -41,41 +40,33 @@
         time.sleep(max(0.0, 10 - h.now()))
         traffic = h.Traffic(platform, record, fronts, "shop.example", "/status/1", key=KEY)
         time.sleep(3)
-        if trouble:
-            # Planned replacement: the successor first, with an empty disk and another address.
-            successor = platform.add("keeper", "core-successor", 0, 3)
-            record.say("platform: core-successor starts with an empty disk")
+        # Planned replacement: the successors first, one after the other, with empty disks and new addresses. Each has had
+        # its time to catch up before the next one starts, and the last one before the first old machine goes.
+        for number in range(3):
+            if trouble:
+                successor = platform.add("keeper", f"core-successor-{number}", number, 3)
+                record.say(f"platform: {successor.name} starts with an empty disk")
             time.sleep(CATCH_UP_S + 0.5)
-            # Any machine but the leader is taken, so that no election hides what happens.
-            leader = h.control_call(platform, "GET", "/v1/config/get")[2]
-            old = next(m for m in cores if f"{m.ip}:{platform.control_port}" != leader)
-            record.say(f"platform: SIGTERM to {old.name}, which is removed for good")
-            stopping = threading.Thread(target=old.terminate, args=(GRACE_S,))
-            stopping.start()
-            cores = [m for m in cores if m is not old]
-        else:
-            time.sleep(CATCH_UP_S + 0.5)
-        time.sleep(1.5)
         if not operator.put(make(2)):
             return 2
         fault_at = h.now()
-        if trouble:
-            lost = cores[:2]
-            for machine in lost:
-                machine.is_on = False
-                machine.signal(signal.SIGKILL)
-            for machine in lost:
-                machine.kill()
-                machine.wipe()
-            record.say(f"platform: {lost[0].name} and {lost[1].name} lose power and their disks")
+        stopping = []
+        for old in cores[:3]:
+            if trouble:
+                record.say(f"platform: SIGTERM to {old.name}, which is removed for good")
+                thread = threading.Thread(target=old.terminate, args=(GRACE_S,))
+                thread.start()
+                stopping.append(thread)
             time.sleep(1.0)
-            for machine in lost:
-                machine.start()
-            record.say(f"platform: {lost[0].name} and {lost[1].name} are back with empty disks")
-            stopping.join()
+        for thread in stopping:
+            thread.join()
+        # The settings name machines that are there, as the operator's list has them now.
+        platform.seeds = platform.control_addresses()[:3]
+        for machine in platform.machines:
+            machine.write_settings()
         back_at = h.now()
-        before, share_before = traffic.share_served(fault_at - 4, fault_at)
-        # The machines' time to recover, and 10 s of requests after it.
+        before, share_before = traffic.share_served(fault_at - 10, fault_at)
+        # The time to recover, and 10 s of requests after it.
         time.sleep(RECOVERY_S + 10)
         after, share_after = traffic.share_served(back_at + RECOVERY_S, back_at + RECOVERY_S + 9)
         # The operator reads the configuration back for contactMs at least; here for twice that.
@@ -85,15 +76,15 @@
             read = operator.read() or read
             time.sleep(0.25)
         version = read and read["version"]
-        record.say(f"before the fault {share_before:.2f} of {before} requests were served; from {RECOVERY_S} s after "
-                   f"the machines were back {share_after:.2f} of {after}")
+        record.say(f"before the replacement {share_before:.2f} of {before} requests were served; from {RECOVERY_S} s after "
+                   f"it {share_after:.2f} of {after}")
         record.say(f"read back at the end: version {version}; acknowledged: version 2")
         is_alive = all(m.process.poll() is None for m in platform.machines if m.is_on)
         record.say(f"all processes run: {is_alive}")
         if share_before < 0.9:
             return 2
-        broken = share_after < 0.25 or version != 2
-        record.say("RECOVER and CONFIG are broken" if broken else "the rules held")
+        broken = version != 2
+        record.say("CONFIG is broken" if broken else "the rule held")
         return 1 if broken else 0
     finally:
         if traffic:
