Give caught-up successors a vote before the keepers that they replace go

Cause: with five voters, successors stayed learners while all five answered, and a removed voter kept its vote for 4 s of silence, one at a time. The third loss within that time ended the quorum of five, and only a leader can promote learners.

Change: caught-up learners become voters above the target of 2f + 1, up to 4f + 1, where that makes an odd number; an even number tolerates no more losses, and would let a failure domain with both the old and the new keeper end the quorum. A silent voter is removed after twice the longest election timeout (0.9 s as deployed) if the target is kept without it, with or without a learner in wait. With eight keepers seven vote, so three may go at once.

--- a/crates/core/src/consensus/members.rs
+++ b/crates/core/src/consensus/members.rs
@@ -125,11 +125,26 @@
     }
 
     /// Promotes a caught-up learner to a voter, if there is room for one.
-    pub(super) fn promote_caught_up_learner(&mut self, now: TimePoint) {
-        let has_voter_slot = self.config.voters.len() < self.settings.max_voters;
-        if !has_voter_slot || self.check_member_change(now).is_err() {
-            return;
+    pub(super) fn promote_due_learner(&mut self, now: TimePoint) {
+        if self.has_voter_slot(now) && self.check_member_change(now).is_ok() {
+            self.promote_caught_up_learner(now);
+        }
+    }
+
+    /// Whether a promotion raises the number of losses that the voters tolerate, at once or together
+    /// with the promotion of a second learner. An even number of voters tolerates no more losses than
+    /// one voter less, and needs a larger share of them in touch.
+    fn has_voter_slot(&self, now: TimePoint) -> bool {
+        let voter_count = self.config.voters.len();
+        if voter_count < self.settings.target_voters {
+            return true;
         }
+        let makes_odd =
+            voter_count.is_multiple_of(2) || self.caught_up_learners(now).nth(1).is_some();
+        voter_count < self.settings.max_voters && makes_odd
+    }
+
+    fn promote_caught_up_learner(&mut self, now: TimePoint) {
         let Some(id) = self.caught_up_learner(now) else {
             return;
         };
@@ -142,18 +157,27 @@
 
     /// A responsive learner that has saved every committed entry.
     pub fn caught_up_learner(&self, now: TimePoint) -> Option<ReplicaId> {
+        self.caught_up_learners(now).next()
+    }
+
+    fn caught_up_learners(&self, now: TimePoint) -> impl Iterator<Item = ReplicaId> {
+        let learners = self.config.learners.keys().copied();
+        learners.filter(move |id| self.is_caught_up(*id) && self.is_responsive(now, *id))
+    }
+
+    fn is_caught_up(&self, id: ReplicaId) -> bool {
         let ReplicaRole::Leader(state) = &self.role else {
-            return None;
+            return false;
         };
-        let is_caught_up = |id: &ReplicaId| {
-            state.followers.get(id).is_some_and(|follower| {
-                follower.match_index >= self.commit_index && follower.match_index > 0
-            })
-        };
-        self.config
-            .learners
-            .keys()
-            .find(|id| is_caught_up(id) && self.is_responsive(now, **id))
-            .copied()
+        state.followers.get(&id).is_some_and(|follower| {
+            follower.match_index >= self.commit_index && follower.match_index > 0
+        })
+    }
+
+    /// Whether a voter can be removed and the others still are, or become by a promotion, as many as
+    /// [`target_voters`](super::ReplicaSettings::target_voters).
+    pub fn has_spare_member(&self, now: TimePoint) -> bool {
+        self.config.voters.len() > self.settings.target_voters
+            || self.caught_up_learner(now).is_some()
     }
 }
--- a/crates/core/src/consensus/replica.rs
+++ b/crates/core/src/consensus/replica.rs
@@ -285,6 +285,11 @@
         &self.config
     }
 
+    /// Timing and limits.
+    pub fn settings(&self) -> &ReplicaSettings {
+        &self.settings
+    }
+
     /// Current role.
     pub fn role(&self) -> &ReplicaRole {
         &self.role
--- a/crates/core/src/consensus/replication.rs
+++ b/crates/core/src/consensus/replication.rs
@@ -14,7 +14,7 @@
             self.become_follower(now, term, None);
             return;
         }
-        self.promote_caught_up_learner(now);
+        self.promote_due_learner(now);
         let ReplicaRole::Leader(state) = &mut self.role else {
             return;
         };
--- a/crates/core/src/consensus/settings.rs
+++ b/crates/core/src/consensus/settings.rs
@@ -22,7 +22,10 @@
     pub kept_entries: u64,
     /// Maximum number of command bytes in these entries.
     pub kept_bytes: usize,
-    /// Maximum number of voters; further members stay learners until a voter leaves.
+    /// Number of voters up to which each caught-up learner is promoted.
+    pub target_voters: usize,
+    /// Maximum number of voters. Above [`Self::target_voters`], learners are promoted only to an odd
+    /// number of voters, which tolerates more losses.
     pub max_voters: usize,
 }
 
@@ -37,6 +40,7 @@
             batch_bytes: 1024 * 1024,
             kept_entries: 4_096,
             kept_bytes: 4 * 1024 * 1024,
+            target_voters: usize::MAX,
             max_voters: usize::MAX,
         }
     }
--- a/crates/keeper/src/formation.rs
+++ b/crates/keeper/src/formation.rs
@@ -20,8 +20,6 @@
 pub const LEADER_CONTACT_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// How long the leader remembers a join request.
 const JOIN_REQUEST_TTL: Duration = Duration::from_secs(2);
-/// Time without an answer after which a voter is replaced by a caught-up learner.
-const VOTER_REPLACEMENT_TIMEOUT: Duration = Duration::from_secs(4);
 /// Time without an answer after which a learner is removed.
 const LEARNER_REMOVAL_TIMEOUT: Duration = Duration::from_secs(20);
 /// Smallest number of a replica that is not a founder. Founders are numbered from 1.
@@ -41,9 +39,15 @@
 
 impl FormationSettings {
     /// Number of voters that tolerates this many failures.
-    pub fn max_voters(&self) -> usize {
+    pub fn target_voters(&self) -> usize {
         2 * self.tolerated_losses + 1
     }
+
+    /// Number of voters that tolerates twice as many failures. More than [`Self::target_voters`] are
+    /// members while keepers are being replaced, when those that will leave still vote.
+    pub fn max_voters(&self) -> usize {
+        4 * self.tolerated_losses + 1
+    }
 }
 
 /// RPC addresses of the keepers with the HTTP addresses `seeds`, sorted and without duplicates.
@@ -145,11 +149,13 @@
     }
 }
 
-/// Removes an unresponsive voter once a learner is ready to take its place. Without a learner it
-/// stays a member, because it may only be partitioned.
+/// Removes an unresponsive voter that the others can do without, after the time in which an
+/// unresponsive leader would be replaced. Any other voter stays, because it may only be partitioned.
 fn due_replacement(now: TimePoint, core: &ReplicaCore) -> Option<MemberChange> {
-    core.caught_up_learner(now)?;
-    core.unresponsive_members(now, VOTER_REPLACEMENT_TIMEOUT)
+    if !core.has_spare_member(now) {
+        return None;
+    }
+    core.unresponsive_members(now, core.settings().election_max * 2)
         .into_iter()
         .find(|id| core.config().is_voter(*id))
         .map(MemberChange::Remove)
--- a/crates/keeper/src/settings.rs
+++ b/crates/keeper/src/settings.rs
@@ -133,13 +133,12 @@
 
     /// Settings of the consensus core.
     pub fn replica_settings(&self) -> ReplicaSettings {
+        let formation = self.formation.as_ref();
         ReplicaSettings {
             election_min: self.election_min,
             election_max: self.election_max,
-            max_voters: self
-                .formation
-                .as_ref()
-                .map_or(usize::MAX, FormationSettings::max_voters),
+            target_voters: formation.map_or(usize::MAX, FormationSettings::target_voters),
+            max_voters: formation.map_or(usize::MAX, FormationSettings::max_voters),
             ..ReplicaSettings::default()
         }
     }
