Have a stopping keeper's vote taken over before it ends

Cause: a keeper that got SIGTERM ended with its vote. Until the leader removed it for its silence, it counted as a voter that had failed, besides the two losses.

Change: on SIGTERM a keeper of a cluster that forms by itself asks the leader to remove it, and goes on serving meanwhile. The leader promotes a learner that has caught up if the target of voters needs it, removes the member, and answers once that is committed. Without one that is ready the keeper stops at once as a voter, so that restarts in turn do not shrink the cluster; without an answer it stops after 2 s. A leaving learner is never promoted.

Restarts in turn and a stop of all keepers keep their votes.

--- a/crates/core/src/consensus/election.rs
+++ b/crates/core/src/consensus/election.rs
@@ -1,6 +1,6 @@
 //! Leader election: pre-votes, votes and role changes.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use super::message::{EntryBody, HardState, LogIndex, PeerMessage, ReplicaId, TermNumber};
 use super::replica::{FollowerProgress, LeaderState, ReplicaCore, ReplicaRole};
@@ -231,6 +231,7 @@
             next_heartbeat: now + self.settings.heartbeat,
             elected_at: now,
             noop_index: next_index,
+            leaving: BTreeMap::new(),
         });
         self.append_as_leader(now, EntryBody::Noop);
     }
--- a/crates/core/src/consensus/members.rs
+++ b/crates/core/src/consensus/members.rs
@@ -97,7 +97,7 @@
         Ok(())
     }
 
-    fn check_member_change(&self, now: TimePoint) -> Result<(), ProposalError> {
+    pub(super) fn check_member_change(&self, now: TimePoint) -> Result<(), ProposalError> {
         if !self.is_serving(now) {
             return Err(ProposalError::NotLeader(self.leader()));
         }
@@ -144,7 +144,7 @@
         voter_count < self.settings.max_voters && makes_odd
     }
 
-    fn promote_caught_up_learner(&mut self, now: TimePoint) {
+    pub(super) fn promote_caught_up_learner(&mut self, now: TimePoint) {
         let Some(id) = self.caught_up_learner(now) else {
             return;
         };
@@ -155,14 +155,16 @@
         }
     }
 
-    /// A responsive learner that has saved every committed entry.
+    /// A responsive learner that has saved every committed entry and is not about to stop.
     pub fn caught_up_learner(&self, now: TimePoint) -> Option<ReplicaId> {
         self.caught_up_learners(now).next()
     }
 
     fn caught_up_learners(&self, now: TimePoint) -> impl Iterator<Item = ReplicaId> {
         let learners = self.config.learners.keys().copied();
-        learners.filter(move |id| self.is_caught_up(*id) && self.is_responsive(now, *id))
+        learners.filter(move |id| {
+            self.is_caught_up(*id) && self.is_responsive(now, *id) && !self.is_leaving(now, *id)
+        })
     }
 
     fn is_caught_up(&self, id: ReplicaId) -> bool {
--- a/crates/core/src/consensus/message.rs
+++ b/crates/core/src/consensus/message.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::leaving::LeaveStatus;
 use super::members::{MemberChange, MemberConfig};
 use crate::time::TimePoint;
 
@@ -145,6 +146,11 @@
     },
     /// Asks the leader for a membership change.
     Members(MemberChange),
+    /// Asks the leader to remove the sender, which is about to stop. Repeated until the answer is
+    /// final.
+    Leave,
+    /// Answer to [`PeerMessage::Leave`].
+    LeaveReply(LeaveStatus),
 }
 
 impl PeerMessage {
@@ -158,7 +164,7 @@
             | Self::Append { term, .. }
             | Self::AppendReply { term, .. }
             | Self::Snapshot { term, .. } => Some(*term),
-            Self::Members(_) => None,
+            Self::Members(_) | Self::Leave | Self::LeaveReply(_) => None,
         }
     }
 }
--- a/crates/core/src/consensus/mod.rs
+++ b/crates/core/src/consensus/mod.rs
@@ -9,6 +9,7 @@
 mod entry_log;
 pub mod journal;
 mod lease;
+mod leaving;
 mod members;
 mod message;
 mod replica;
@@ -16,6 +17,7 @@
 mod settings;
 
 pub use entry_log::EntryLog;
+pub use leaving::LeaveStatus;
 pub use members::{MemberChange, MemberConfig};
 pub use message::{
     EntryBody, HardState, LogEntry, LogIndex, PeerMessage, ReplicaId, SnapshotImage, TermNumber,
--- a/crates/core/src/consensus/replica.rs
+++ b/crates/core/src/consensus/replica.rs
@@ -8,6 +8,7 @@
 use rand_pcg::Pcg64;
 
 use super::entry_log::EntryLog;
+use super::leaving::LeaveStatus;
 use super::members::MemberConfig;
 use super::message::{
     EntryBody, HardState, LogEntry, LogIndex, PeerMessage, ReplicaId, SnapshotImage, TermNumber,
@@ -45,6 +46,8 @@
     pub(super) elected_at: TimePoint,
     /// Index of the no-op entry that this leader appended when it was elected.
     pub(super) noop_index: LogIndex,
+    /// When each member that is about to stop last asked to be removed.
+    pub(super) leaving: BTreeMap<ReplicaId, TimePoint>,
 }
 
 /// Replication progress of one follower.
@@ -164,6 +167,7 @@
     pub(super) is_hard_state_unsaved: bool,
     pub(super) is_snapshot_unsaved: bool,
     pub(super) restore: Option<SnapshotImage>,
+    pub(super) leave_status: Option<LeaveStatus>,
 }
 
 impl ReplicaCore {
@@ -206,6 +210,7 @@
             outbox_after_save: Vec::new(),
             is_hard_state_unsaved: false,
             is_snapshot_unsaved: false,
+            leave_status: None,
         };
         core.refresh_config();
         core.schedule_election(now);
@@ -324,6 +329,7 @@
         } else if now >= self.election_deadline && self.config.is_voter(self.id) {
             self.start_pre_vote(now);
         }
+        self.tick_leaving(now);
     }
 
     /// Handles a message from another replica.
@@ -389,6 +395,8 @@
                 // The sender retries until the members reflect the change.
                 let _ = self.propose_member_change(now, &change);
             }
+            PeerMessage::Leave => self.on_leave(now, from),
+            PeerMessage::LeaveReply(status) => self.on_leave_reply(status),
         }
     }
 
--- a/crates/keeper/src/actor.rs
+++ b/crates/keeper/src/actor.rs
@@ -8,7 +8,8 @@
 use tokio::sync::oneshot;
 
 use chestnutloft_core::consensus::{
-    MemberChange, PeerMessage, ProposalError, ReadyBatch, ReplicaCore, ReplicaId, SavedPoint,
+    LeaveStatus, MemberChange, PeerMessage, ProposalError, ReadyBatch, ReplicaCore, ReplicaId,
+    SavedPoint,
 };
 use chestnutloft_core::ledger::LedgerSettings;
 use chestnutloft_core::routing::{EndpointNotice, RolloutOrder};
@@ -72,6 +73,8 @@
     Join(JoinCall, oneshot::Sender<JoinReply>),
     /// Reads whether this replica is an active member, and whom it can ask to join.
     Membership(oneshot::Sender<MembershipView>),
+    /// Leaves the cluster; answered with the final status.
+    Leave(oneshot::Sender<LeaveStatus>),
     /// Retries a failed save.
     RetrySave(Box<SaveResult>),
 }
@@ -129,6 +132,8 @@
     is_maintenance_pending: bool,
     /// Whether routing commands were proposed by this actor and nothing has been committed since.
     pub(super) is_routing_pending: bool,
+    /// Waits until this replica has left the cluster.
+    leave_reply: Option<oneshot::Sender<LeaveStatus>>,
 }
 
 /// The replica's actor.
@@ -184,6 +189,7 @@
             silent_members: Vec::new(),
             is_maintenance_pending: false,
             is_routing_pending: false,
+            leave_reply: None,
             core,
             settings,
         }
@@ -228,6 +234,10 @@
             ReplicaMessage::Membership(reply) => {
                 let _ = reply.send(self.membership(now));
             }
+            ReplicaMessage::Leave(reply) => {
+                self.core.start_leaving();
+                self.leave_reply = Some(reply);
+            }
             ReplicaMessage::RetrySave(result) => self.retry_save(myself, *result),
         }
         Ok(())
@@ -235,6 +245,7 @@
 
     fn tick(&mut self, now: TimePoint) {
         self.core.tick(now);
+        self.answer_leave();
         if !self.core.is_serving(now) {
             self.coordinator
                 .reject_watches(self.leader_address().as_deref());
@@ -269,6 +280,16 @@
         }
     }
 
+    fn answer_leave(&mut self) {
+        let status = self.core.leave_status();
+        let final_status = status.filter(|status| *status != LeaveStatus::Pending);
+        if let Some(status) = final_status
+            && let Some(reply) = self.leave_reply.take()
+        {
+            let _ = reply.send(status);
+        }
+    }
+
     fn log_silent_members(&mut self, now: TimePoint) {
         let silent = self.core.unresponsive_members(now, SILENCE_TIMEOUT);
         if silent == self.silent_members {
--- a/crates/keeper/src/daemon.rs
+++ b/crates/keeper/src/daemon.rs
@@ -12,7 +12,7 @@
 use tokio::sync::{oneshot, watch};
 use tokio::task::JoinHandle;
 
-use chestnutloft_core::consensus::{MemberConfig, ReplicaCore, ReplicaId};
+use chestnutloft_core::consensus::{LeaveStatus, MemberConfig, ReplicaCore, ReplicaId};
 use chestnutloft_core::routing::LoadAggregator;
 use chestnutloft_core::time::TimePoint;
 use chestnutloft_wire::auth::cluster_proof;
@@ -26,7 +26,7 @@
 
 use crate::actor::{MembershipView, ReplicaActor, ReplicaArguments, ReplicaMessage};
 use crate::control::{ControlCodec, ControlService};
-use crate::formation::{self, JOIN_INTERVAL};
+use crate::formation::{self, JOIN_INTERVAL, LEAVE_TIMEOUT};
 use crate::metrics::KeeperMetrics;
 use crate::operator::OperatorApi;
 use crate::settings::KeeperSettings;
@@ -67,6 +67,8 @@
     /// HTTP address for operators and endpoints.
     pub http: SocketAddr,
     replica: ActorRef<ReplicaMessage>,
+    /// Whether keepers join and leave the cluster without an operator.
+    is_self_forming: bool,
     stop: watch::Sender<bool>,
     actor: JoinHandle<()>,
     http_server: JoinHandle<()>,
@@ -214,6 +216,7 @@
             rpc,
             http,
             replica,
+            is_self_forming: settings.formation.is_some(),
             stop,
             actor,
             http_server,
@@ -230,8 +233,33 @@
         let _ = (&mut self.actor).await;
     }
 
-    /// Stops the keeper. The other voters elect a new leader if it led.
+    /// Waits until the leader has removed this keeper, or needs it as a voter.
+    async fn leave(&self) {
+        let status = ask(&self.replica, LeaveStatus::Pending, ReplicaMessage::Leave);
+        match tokio::time::timeout(LEAVE_TIMEOUT, status).await {
+            Ok(LeaveStatus::Removed) => {
+                spdlog::info!("members: this keeper has left the cluster; stopping.");
+            }
+            Ok(LeaveStatus::Needed) => {
+                spdlog::info!(
+                    "members: no other keeper can take over this vote; stopping as a voter."
+                );
+            }
+            Ok(LeaveStatus::Pending) | Err(_) => {
+                spdlog::warn!(
+                    "members: the cluster has not removed this keeper within {} ms; stopping as a member.",
+                    LEAVE_TIMEOUT.as_millis()
+                );
+            }
+        }
+    }
+
+    /// Stops the keeper. If the cluster replaces failed keepers by itself, another keeper takes over
+    /// its vote first. The other voters elect a new leader if it led.
     pub async fn shut_down(self) {
+        if self.is_self_forming {
+            self.leave().await;
+        }
         let _ = self.stop.send(true);
         let _ = self.http_server.await;
         self.replica.stop(None);
--- a/crates/keeper/src/formation.rs
+++ b/crates/keeper/src/formation.rs
@@ -18,6 +18,8 @@
 /// Time without contact with a leader after which a member sends join requests again, because it
 /// may have been removed.
 pub const LEADER_CONTACT_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// How long a keeper that stops waits until another has taken over its vote.
+pub const LEAVE_TIMEOUT: Duration = Duration::from_secs(2);
 /// How long the leader remembers a join request.
 const JOIN_REQUEST_TTL: Duration = Duration::from_secs(2);
 /// Time without an answer after which a learner is removed.
--- a/crates/keeper/tests/replacement/cluster.rs
+++ b/crates/keeper/tests/replacement/cluster.rs
@@ -5,10 +5,10 @@
 use std::time::Duration;
 
 use chestnutloft_core::consensus::{
-    EntryBody, MemberConfig, PeerMessage, ReplicaCore, ReplicaId, ReplicaSettings,
+    EntryBody, LeaveStatus, MemberConfig, PeerMessage, ReplicaCore, ReplicaId, ReplicaSettings,
 };
 use chestnutloft_core::time::TimePoint;
-use chestnutloft_keeper::formation::{FormationSettings, MembershipManager};
+use chestnutloft_keeper::formation::{FormationSettings, LEAVE_TIMEOUT, MembershipManager};
 use chestnutloft_keeper::settings::KeeperSettings;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
@@ -112,9 +112,46 @@
         id
     }
 
-    /// Ends a keeper without notice.
-    pub fn kill(&mut self, id: ReplicaId) {
-        self.keepers.remove(&id).expect("a running keeper");
+    /// Starts a stopped keeper again, with its disk as it was.
+    pub fn restart(&mut self, stopped: &ReplicaCore) {
+        let seed = self.rng.random();
+        let snapshot = stopped.snapshot().clone();
+        let entries = stopped.log().entries_after(snapshot.index, usize::MAX);
+        let (id, hard_state) = (stopped.id(), stopped.hard_state());
+        let settings = replica_settings();
+        let core =
+            ReplicaCore::restart(self.at(), id, settings, snapshot, hard_state, entries, seed);
+        self.insert(core);
+    }
+
+    /// Ends a keeper without notice. Returns the replica, which holds what is on its disk.
+    pub fn kill(&mut self, id: ReplicaId) -> ReplicaCore {
+        self.keepers.remove(&id).expect("a running keeper").core
+    }
+
+    /// Asks keepers to stop at the same time. Each one leaves its cluster if it can, and ends.
+    /// Returns the replicas.
+    pub fn stop(&mut self, ids: &[ReplicaId]) -> Vec<ReplicaCore> {
+        for id in ids {
+            let keeper = self.keepers.get_mut(id).expect("a running keeper");
+            keeper.core.start_leaving();
+        }
+        let end = self.now + LEAVE_TIMEOUT.as_millis() as u64;
+        let mut stopped = Vec::new();
+        while stopped.len() < ids.len() {
+            self.advance(STEP_MS);
+            let is_late = self.now >= end;
+            for id in ids {
+                let keeper = self.keepers.get(id);
+                let is_due = |keeper: &Keeper| {
+                    is_late || keeper.core.leave_status() != Some(LeaveStatus::Pending)
+                };
+                if keeper.is_some_and(is_due) {
+                    stopped.push(self.kill(*id));
+                }
+            }
+        }
+        stopped
     }
 
     /// The only keeper that may serve, if any.
--- a/crates/keeper/tests/replacement/main.rs
+++ b/crates/keeper/tests/replacement/main.rs
@@ -68,3 +68,62 @@
     }
     assert_eq!(failed, [], "(seed, replaced keepers) without a quorum");
 }
+
+/// Guards against keepers that end while they still have a vote that a successor could take over:
+/// the loss of two disks at that moment ended the quorum for good.
+#[test]
+fn stopped_keepers_hand_over_their_votes_before_two_others_vanish() {
+    let mut failed = Vec::new();
+    for seed in 0..SEEDS {
+        let mut rng = Pcg64::seed_from_u64(seed);
+        let count = rng.random_range(1..=3);
+        let mut cluster = cluster_with_successors(seed, count);
+
+        let founders = drawn_founders(&mut rng, count + 2);
+        let (stopped, lost) = founders.split_at(count);
+        cluster.stop(stopped);
+        for id in lost {
+            cluster.kill(*id);
+        }
+
+        let is_served = cluster.reaches(|cluster| cluster.has_applied(COMMAND));
+        if !is_served {
+            failed.push((seed, count));
+        }
+    }
+    assert_eq!(failed, [], "(seed, stopped keepers) without a quorum");
+}
+
+/// Guards against a cluster that shrinks while its keepers are restarted one after the other.
+#[test]
+fn restarts_in_turn_keep_all_votes() {
+    for seed in 0..SEEDS / 4 {
+        let mut rng = Pcg64::seed_from_u64(seed);
+        let mut cluster = cluster_with_successors(seed, usize::from(seed % 2 == 1));
+
+        for id in drawn_founders(&mut rng, FOUNDERS as usize) {
+            let stopped = cluster.stop(&[id]);
+            cluster.restart(&stopped[0]);
+            cluster.advance(CATCH_UP_MS);
+        }
+
+        let members = cluster.members().expect("a leader");
+        assert_eq!(members.voters.len(), FOUNDERS as usize, "seed {seed}");
+        assert!(cluster.has_applied(COMMAND), "seed {seed}");
+    }
+}
+
+/// Guards against keepers that wait for each other when all of them are stopped at once.
+#[test]
+fn keepers_that_all_stop_keep_their_votes_and_return() {
+    for seed in 0..SEEDS / 4 {
+        let mut cluster = cluster_with_successors(seed, 0);
+
+        let stopped = cluster.stop(&cluster.running());
+        for replica in &stopped {
+            cluster.restart(replica);
+        }
+
+        assert!(has_recovered(&mut cluster), "seed {seed}");
+    }
+}
