Send each request about a copy on a connection of its own

Cause: requests to copy and free runs shared the pool with calls. Their answers carry no id, so a late second answer to the call before on that connection was taken for the answer about the copy, and the connection went back to the pool one answer behind. The next such request got the name of another stream's copy.

Change: a request about a copy opens a connection that carries nothing else, so no other answer can come on it. The pool closes each connection whose last response did not carry the id of its call, so that no path can return one that is out of step. Weighed and rejected: to check the id of these answers where there is one; a late second answer to one such request has none and looks like the answer to the next.

Cost: two connections for a moved run, and one for a copy that is freed.

--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -15,7 +15,7 @@
 use chestnutloft_wire::clock;
 
 use super::choice::ChosenEndpoint;
-use super::codec::{AttemptHead, ConnectionPersistence, ExecutionStatus, ResponseHead};
+use super::codec::{AttemptHead, ExecutionStatus, ResponseHead};
 use super::connections::{ConnectionError, EndpointConnection};
 use super::context::ForwardContext;
 use super::inbound::InboundCall;
@@ -208,17 +208,14 @@
     /// Returns the connection to the pool. The body must have been received completely.
     pub fn release(self, now: TimePoint) {
         let Self {
-            head,
             mut guard,
             connection,
             ..
         } = self;
         guard.mark_logged();
         guard.mark_harmless();
-        if head.persistence != ConnectionPersistence::Close {
-            let address = &guard.endpoint.address;
-            guard.context.connections.put(now, address, connection);
-        }
+        let address = &guard.endpoint.address;
+        guard.context.connections.put(now, address, connection);
     }
 }
 
@@ -255,9 +252,7 @@
     };
     let (parts, body) = response.into_parts();
     let head = (context.codec.read_response)(&parts, &call.head.id);
-    if let ConnectionPersistence::KeepAlive(Some(timeout)) = head.persistence {
-        connection.set_keep_alive(timeout);
-    }
+    connection.record_response(&head);
     let response = EndpointResponse {
         parts,
         head,
--- a/crates/entry/src/forward/connections.rs
+++ b/crates/entry/src/forward/connections.rs
@@ -17,6 +17,7 @@
 use chestnutloft_core::time::TimePoint;
 use chestnutloft_wire::clock;
 
+use super::codec::{ConnectionPersistence, ResponseHead};
 use super::sockets::prepare_endpoint_stream;
 use super::write_meter::{MeteredStream, WriteMeter};
 
@@ -52,6 +53,8 @@
     driver: AbortHandle,
     idle_limit: Duration,
     last_used_at: TimePoint,
+    /// Whether the next response on the connection can only belong to the next request.
+    is_in_step: bool,
     /// How far the current request has been written.
     pub meter: WriteMeter,
 }
@@ -95,6 +98,7 @@
             driver: driver.abort_handle(),
             idle_limit: DEFAULT_IDLE_LIMIT,
             last_used_at: clock::now(),
+            is_in_step: true,
             meter,
         })
     }
@@ -109,6 +113,7 @@
         request: Request<Full<Bytes>>,
     ) -> Result<hyper::Response<Incoming>, ConnectionError> {
         self.meter.restart();
+        self.is_in_step = false;
         match self.sender.try_send_request(request).await {
             Ok(response) => Ok(response),
             Err(mut error) => match error.take_message() {
@@ -118,9 +123,18 @@
         }
     }
 
-    /// Sets the endpoint's keep-alive timeout.
-    pub fn set_keep_alive(&mut self, timeout: Duration) {
-        self.idle_limit = timeout.mul_f64(KEEP_ALIVE_SHARE);
+    /// Records the head of the response to the last request. Unless it carries the id of the call and
+    /// the endpoint keeps the connection open, the connection is not used again: a response to an
+    /// earlier request may have taken the place of that to the last one, which then is still to come.
+    pub fn record_response(&mut self, head: &ResponseHead) {
+        match head.persistence {
+            ConnectionPersistence::Close => return,
+            ConnectionPersistence::KeepAlive(Some(timeout)) => {
+                self.idle_limit = timeout.mul_f64(KEEP_ALIVE_SHARE);
+            }
+            ConnectionPersistence::KeepAlive(None) => {}
+        }
+        self.is_in_step = head.has_call_id;
     }
 
     fn is_usable(&self, now: TimePoint, max_idle: Duration) -> bool {
@@ -163,8 +177,12 @@
         None
     }
 
-    /// Returns a connection to the pool. Its last response must have been received completely.
+    /// Returns a connection to the pool, or closes it if its responses cannot be told apart any more.
+    /// Its last response must have been received completely.
     pub fn put(&self, now: TimePoint, address: &str, mut connection: EndpointConnection) {
+        if !connection.is_in_step {
+            return;
+        }
         connection.last_used_at = now;
         self.idle()
             .entry(address.to_owned())
--- a/crates/entry/src/forward/copy_calls.rs
+++ b/crates/entry/src/forward/copy_calls.rs
@@ -9,17 +9,14 @@
 use tokio::sync::oneshot;
 
 use chestnutloft_core::routing::CopyAnswer;
-use chestnutloft_wire::clock;
 
 use super::choice::ChosenEndpoint;
 use super::codec::{CopyOrder, CopySource};
-use super::connections::{ConnectionError, EndpointConnection};
+use super::connections::EndpointConnection;
 use super::context::ForwardContext;
 
 /// Timeout for freeing a copy, which expires by itself as well.
 const RELEASE_TIMEOUT: Duration = Duration::from_secs(1);
-/// Idle time after which a connection is not reused for these requests.
-const MAX_IDLE: Duration = Duration::from_millis(1_500);
 /// Largest answer that is read.
 const MAX_ANSWER_BYTES: usize = 16 * 1024;
 
@@ -166,8 +163,7 @@
         target: &request.target,
         is_last: request.is_last,
     };
-    let build = || (context.codec.write_copy_order)(&order);
-    let sending = send(context, &request.source, build);
+    let sending = send(&request.source, (context.codec.write_copy_order)(&order));
     match tokio::time::timeout(request.timeout, sending).await {
         Ok(Ok((status, body))) => (context.codec.read_copy_answer)(status, &body),
         Ok(Err(problem)) => {
@@ -201,8 +197,7 @@
             address: &address,
             handle: &handle,
         };
-        let build = || (context.codec.write_copy_release)(&copy);
-        let sending = send(&context, &address, build);
+        let sending = send(&address, (context.codec.write_copy_release)(&copy));
         let sent = tokio::time::timeout(RELEASE_TIMEOUT, sending).await;
         if !matches!(sent, Ok(Ok(_))) {
             spdlog::debug!("copies: copy {handle} at {address} not freed; it expires.");
@@ -210,31 +205,16 @@
     });
 }
 
-/// Sends a request to `address` and reads the whole answer.
-async fn send(
-    context: &ForwardContext,
-    address: &str,
-    build: impl Fn() -> Request<Full<Bytes>>,
-) -> Result<(StatusCode, Bytes), String> {
-    loop {
-        let pooled = context.connections.take(clock::now(), address, MAX_IDLE);
-        let is_new = pooled.is_none();
-        let mut connection = match pooled {
-            Some(connection) => connection,
-            None => EndpointConnection::open(address)
-                .await
-                .map_err(|error| format!("{error:?}"))?,
-        };
-        let response = match connection.send(build()).await {
-            Ok(response) => response,
-            // The endpoint has closed this pooled connection: try the next one.
-            Err(ConnectionError::Closed) if !is_new => continue,
-            Err(error) => return Err(format!("{error:?}")),
-        };
-        let status = response.status();
-        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
-        let body = body.collect().await.map_err(|error| error.to_string())?;
-        context.connections.put(clock::now(), address, connection);
-        return Ok((status, body.to_bytes()));
-    }
+/// Sends a request to `address` on a connection of its own and reads the whole answer. The answers
+/// carry no id, so on a connection with other requests a late second answer to one of them could not
+/// be told from the answer to this one.
+async fn send(address: &str, request: Request<Full<Bytes>>) -> Result<(StatusCode, Bytes), String> {
+    let connection = EndpointConnection::open(address).await;
+    let mut connection = connection.map_err(|error| format!("{error:?}"))?;
+    let response = connection.send(request).await;
+    let response = response.map_err(|error| format!("{error:?}"))?;
+    let status = response.status();
+    let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
+    let body = body.collect().await.map_err(|error| error.to_string())?;
+    Ok((status, body.to_bytes()))
 }
