Send requests of the product's own interface on connections of their own

Callers saw: where an engine, a plain service or the rating service sends a late second copy of an answer on a connection that is in use again, the next request got that copy as its answer.

Cause: the entry took any response on a pooled connection for the answer to its request. This interface asks for no id in answers, so there is nothing to check.

Change: the client for endpoints and the rating service uses each connection once. The operators' and announcers' client, which talks to our own servers, is as before.

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -99,7 +99,7 @@
         let parts = ContextParts {
             router: RouterState::new(router, settings.domain.clone(), incarnation),
             keepers: KeeperClient::start(rpc_client.clone(), keepers),
-            http: http::client(),
+            http: http::single_use_client(),
             entry,
             incarnation,
             rpc_address,
--- a/crates/wire/src/http.rs
+++ b/crates/wire/src/http.rs
@@ -25,7 +25,7 @@
 /// Boxed body of a request or response.
 pub type AnyBody = UnsyncBoxBody<Bytes, BodyError>;
 
-/// HTTP/1.1 client with a connection pool.
+/// HTTP/1.1 client.
 pub type HttpClient = Client<HttpConnector, AnyBody>;
 
 /// Time after which an idle pooled connection is closed.
@@ -35,12 +35,24 @@
 
 /// Creates a client. It never retries requests by itself.
 pub fn client() -> HttpClient {
+    build_client(usize::MAX)
+}
+
+/// Creates a client that sends each request on a connection of its own, for servers whose responses
+/// carry nothing that tells which request they belong to: on a connection that is used again, a
+/// late second response to one request would be taken for the response to the next.
+pub fn single_use_client() -> HttpClient {
+    build_client(0)
+}
+
+fn build_client(max_idle_connections: usize) -> HttpClient {
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
     connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
     Client::builder(TokioExecutor::new())
         .pool_timer(TokioTimer::new())
         .pool_idle_timeout(IDLE_TIMEOUT)
+        .pool_max_idle_per_host(max_idle_connections)
         .retry_canceled_requests(false)
         .build(connector)
 }
