Take a status that ends no call as a failure of the endpoint

Callers saw: an endpoint's unasked 101, with its signature, as the answer to their call, on a connection that then ended; 600 and 999 were passed on as well.

Cause: any status that the HTTP library returned was an answer. It skips interim statuses but for 101, and takes all three-digit numbers from 100.

On the product's own interface the lookup's caller got 101.

Change: wire::http::is_final_status says which statuses end a call, 200 to 599; the relays of both interfaces take any other one as a broken attempt, which may have run. Calls that may be repeated go to another endpoint, others get 502.

--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -13,6 +13,7 @@
 use chestnutloft_core::routing::{CallKind, LostCall};
 use chestnutloft_core::time::TimePoint;
 use chestnutloft_wire::clock;
+use chestnutloft_wire::http::is_final_status;
 
 use super::choice::ChosenEndpoint;
 use super::codec::{AttemptHead, ExecutionStatus, ResponseHead};
@@ -299,6 +300,12 @@
     let head = &response.head;
     let id = &response.guard.endpoint.id;
     let now = clock::now();
+    let status = response.parts.status;
+    if !is_final_status(status) {
+        return Err(AttemptFailure::Broken(format!(
+            "the status {status} ends no call"
+        )));
+    }
     if head.execution != ExecutionStatus::Misdirected {
         let sent_at = response.guard.started_at;
         let mut state = context.state();
@@ -331,7 +338,6 @@
         ));
     }
     if !head.is_signed {
-        let status = response.parts.status;
         return Err(AttemptFailure::Broken(format!(
             "the response with status {status} has no signature"
         )));
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -18,7 +18,7 @@
 };
 use chestnutloft_core::state::{KeeperCommand, KeeperOutcome, PoolKey};
 use chestnutloft_wire::clock;
-use chestnutloft_wire::http::{AnyBody, full, read_body};
+use chestnutloft_wire::http::{AnyBody, full, is_final_status, read_body};
 
 use crate::attempt;
 use crate::context::EntryContext;
@@ -408,6 +408,9 @@
     is_idempotent: bool,
 ) -> Result<EndpointAnswer, AttemptFailure> {
     let status = response.status();
+    if !is_final_status(status) {
+        return Err(AttemptFailure::Broken);
+    }
     if response.headers().contains_key(NOT_RUN_HEADER) {
         return Err(AttemptFailure::Refused);
     }
--- a/crates/solo/tests/faulty_endpoints.rs
+++ b/crates/solo/tests/faulty_endpoints.rs
@@ -1,5 +1,4 @@
-//! Endpoints of the product's own interface that send a second copy of an answer, late, on a
-//! connection that is in use again.
+//! Endpoints of the product's own interface whose answers are late copies, or no answers.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -34,12 +33,26 @@
     }
 }
 
-async fn start_endpoint() -> SocketAddr {
+/// Answers each request with `status`.
+async fn answer_with(mut stream: TcpStream, status: &str) -> std::io::Result<()> {
+    let mut request = vec![0; 16 * 1024];
+    while stream.read(&mut request).await? > 0 {
+        let answer = format!("HTTP/1.1 {status}\r\ncontent-length: 0\r\n\r\n");
+        stream.write_all(answer.as_bytes()).await?;
+    }
+    Ok(())
+}
+
+/// Starts an endpoint that handles each connection with `answer`.
+async fn start_endpoint<F>(answer: impl Fn(TcpStream) -> F + Send + 'static) -> SocketAddr
+where
+    F: Future<Output = std::io::Result<()>> + Send + 'static,
+{
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("an address");
     tokio::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
-            tokio::spawn(answer_twice(stream));
+            tokio::spawn(answer(stream));
         }
     });
     address
@@ -60,8 +73,11 @@
     }
 }
 
-/// A cluster whose only order service is the one at `address`.
-async fn start_cluster(data: &tempfile::TempDir) -> (SoloCluster, EndpointAnnouncer) {
+/// A cluster whose only order service is the one at `address`, once the others have left.
+async fn start_cluster(
+    data: &tempfile::TempDir,
+    address: SocketAddr,
+) -> (SoloCluster, EndpointAnnouncer) {
     let mut plan = sample::shorten_rollouts(example::plan().expect("the example plan is valid"));
     plan.rollouts.clear();
     let settings = ClusterSettings::small(data.path(), plan);
@@ -69,7 +85,6 @@
     for endpoint in &cluster.plain_services {
         endpoint.announcer.set_leaving();
     }
-    let address = start_endpoint().await;
     let announcer = EndpointAnnouncer::start(
         announcement(address),
         cluster.entry_addresses(),
@@ -79,6 +94,21 @@
     (cluster, announcer)
 }
 
+/// Repeats a request until the response is as expected, for about 10 s.
+async fn wait_for_response(
+    cluster: &SoloCluster,
+    client: &SampleClient,
+    is_expected: impl Fn(&ClientResponse) -> bool,
+) {
+    for _ in 0..500 {
+        if is_expected(&look_up(cluster, client, "/start").await) {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    panic!("the endpoint gets no requests");
+}
+
 async fn look_up(cluster: &SoloCluster, client: &SampleClient, path: &str) -> ClientResponse {
     let entry = cluster.entry_addresses()[0];
     let path = format!("/order-svc{path}");
@@ -91,14 +121,10 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn no_caller_gets_an_answer_to_another_request() {
     let data = tempfile::tempdir().expect("a folder");
-    let (cluster, _announcer) = start_cluster(&data).await;
+    let address = start_endpoint(answer_twice).await;
+    let (cluster, _announcer) = start_cluster(&data, address).await;
     let client = SampleClient::default();
-    for _ in 0..500 {
-        if look_up(&cluster, &client, "/start").await.text == "/start" {
-            break;
-        }
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
+    wait_for_response(&cluster, &client, |response| response.text == "/start").await;
 
     let mut served = 0;
     for number in 0..40 {
@@ -113,3 +139,24 @@
     assert!(served > 0, "no request was served by the endpoint");
     cluster.shut_down().await;
 }
+
+/// Guards against a status that ends no request, as 101 does, being passed on as its answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn status_that_ends_no_request_is_a_failure_of_the_endpoint() {
+    for status in ["101 Switching Protocols", "600 Six"] {
+        let data = tempfile::tempdir().expect("a folder");
+        let address = start_endpoint(move |stream| answer_with(stream, status)).await;
+        let (cluster, _announcer) = start_cluster(&data, address).await;
+        let client = SampleClient::default();
+        wait_for_response(&cluster, &client, |response| response.status != 200).await;
+
+        let response = look_up(&cluster, &client, "/orders/1").await;
+
+        assert!(
+            (502..=504).contains(&response.status),
+            "{status}: {response:?}"
+        );
+        assert!(response.refusal["error"].is_object(), "{status}");
+        cluster.shut_down().await;
+    }
+}
--- a/crates/wire/src/http.rs
+++ b/crates/wire/src/http.rs
@@ -176,6 +176,12 @@
 /// Maximum size of a JSON response body, in bytes.
 const MAX_JSON_BYTES: usize = 64 * 1024 * 1024;
 
+/// Whether a response with `status` is the answer to its request. One with 1xx is not, and HTTP has
+/// no statuses above 599.
+pub fn is_final_status(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Sends `call` as JSON with `key` as bearer key, and decodes the JSON response.
 ///
 /// # Errors
