Reset the connection of a caller of HTTP/1.0 whose stream is cut

Callers saw: a stream broken off by its endpoint reached a caller of HTTP/1.0 as 200 without a length, a part, and an orderly close: it looks complete.

Cause: HTTP/1.0 has no chunks, so such a body ends with its connection, and the entry closed the connection of a cut stream as it does that of a whole one.

Change: while a body is sent whose only end is that of its connection, the socket resets on close, until the body is complete. It covers all ends: the endpoint's, a slow caller's limit, the end of the process.

--- a/crates/entry/src/forward/caller_connection.rs
+++ b/crates/entry/src/forward/caller_connection.rs
@@ -12,7 +12,7 @@
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response};
+use hyper::{Request, Response, Version};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, watch};
@@ -21,6 +21,7 @@
 use chestnutloft_wire::clock;
 use chestnutloft_wire::http::{AnyBody, BodyError};
 
+use super::caller_stream::{CallerStream, OpenEndedResponse};
 use super::context::ForwardContext;
 use super::pipeline::handle_call;
 use super::sockets::prepare_caller_stream;
@@ -103,6 +104,8 @@
 /// Body of a response that counts its call as running.
 struct GuardedBody {
     body: AnyBody,
+    /// Set while the body is sent, if only the end of its connection marks its end.
+    open_ended: Option<OpenEndedResponse>,
     _guard: CallGuard,
 }
 
@@ -114,7 +117,11 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        Pin::new(&mut self.body).poll_frame(context)
+        let frame = Pin::new(&mut self.body).poll_frame(context);
+        if let (Poll::Ready(None), Some(response)) = (&frame, &self.open_ended) {
+            response.set(false);
+        }
+        frame
     }
 
     fn is_end_stream(&self) -> bool {
@@ -139,8 +146,12 @@
     let calls = activity.clone();
     let abort = ConnectionAbort::default();
     let call_abort = abort.clone();
+    let open_ended = OpenEndedResponse::default();
+    let stream = CallerStream::new(stream, open_ended.clone());
     let service = service_fn(move |mut request: Request<Incoming>| {
         request.extensions_mut().insert(call_abort.clone());
+        // Only later versions mark the end of a body whose length is not known at its start.
+        let open_ended = (request.version() < Version::HTTP_11).then(|| open_ended.clone());
         let context = Arc::clone(&context);
         let guard = calls.start_call();
         async move {
@@ -149,7 +160,7 @@
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
             }
-            Ok::<_, Infallible>(guard_response(response, guard))
+            Ok::<_, Infallible>(guard_response(response, guard, open_ended))
         }
     });
     let connection = http1::Builder::new()
@@ -178,10 +189,19 @@
     }
 }
 
-fn guard_response(response: Response<AnyBody>, guard: CallGuard) -> Response<AnyBody> {
+fn guard_response(
+    response: Response<AnyBody>,
+    guard: CallGuard,
+    open_ended: Option<OpenEndedResponse>,
+) -> Response<AnyBody> {
     response.map(|body| {
+        let open_ended = open_ended.filter(|_| body.size_hint().exact().is_none());
+        if let Some(response) = &open_ended {
+            response.set(true);
+        }
         let body = GuardedBody {
             body,
+            open_ended,
             _guard: guard,
         };
         body.boxed_unsync()
--- a/crates/entry/src/forward/mod.rs
+++ b/crates/entry/src/forward/mod.rs
@@ -10,6 +10,7 @@
 mod attempt;
 mod body_memory;
 mod caller_connection;
+mod caller_stream;
 mod capacity;
 pub mod choice;
 pub mod codec;
