--- a/crates/keeper/tests/replacement/cluster.rs
+++ b/crates/keeper/tests/replacement/cluster.rs
@@ -44,6 +44,8 @@
     now: u64,
     keepers: BTreeMap<ReplicaId, Keeper>,
     deliveries: Vec<Delivery>,
+    /// Share of the messages that are lost.
+    loss_rate: f64,
     last_id: u64,
 }
 
@@ -76,6 +78,7 @@
             now: 0,
             keepers: BTreeMap::new(),
             deliveries: Vec::new(),
+            loss_rate: 0.0,
             last_id: FOUNDERS,
         };
         for id in ids {
@@ -104,6 +107,11 @@
         self.keepers.insert(keeper.core.id(), keeper);
     }
 
+    /// Loses this share of all messages from now on.
+    pub fn lose_messages(&mut self, loss_rate: f64) {
+        self.loss_rate = loss_rate;
+    }
+
     /// Starts a keeper with an empty disk at a new address.
     pub fn start_successor(&mut self) -> ReplicaId {
         self.last_id += 1;
@@ -280,6 +288,9 @@
             keeper.core.on_saved(now, ready.point);
             let messages = ready.send_now.into_iter().chain(ready.send_after_save);
             for (to, message) in messages {
+                if self.rng.random_range(0.0..1.0) < self.loss_rate {
+                    continue;
+                }
                 let due = self.now + self.rng.random_range(0..=MAX_DELAY_MS);
                 self.deliveries.push(Delivery {
                     due,
--- a/crates/keeper/tests/replacement/main.rs
+++ b/crates/keeper/tests/replacement/main.rs
@@ -127,3 +127,58 @@
         assert!(has_recovered(&mut cluster), "seed {seed}");
     }
 }
+
+/// Guards against overlaps: keepers are replaced, restarted and lost in a drawn order, with and
+/// without notice, as far as the tolerated losses allow, while messages are lost.
+#[test]
+fn what_was_acknowledged_outlives_any_order_of_tolerated_losses() {
+    let mut failed: Vec<u64> = Vec::new();
+    for seed in 0..SEEDS {
+        let mut rng = Pcg64::seed_from_u64(seed);
+        let mut cluster = cluster_with_successors(seed, 0);
+        cluster.lose_messages(0.01);
+        for _ in 0..8 {
+            lose_some(&mut rng, &mut cluster);
+            cluster.advance(CATCH_UP_MS + rng.random_range(0..400) * 5);
+        }
+
+        if !has_recovered(&mut cluster) {
+            failed.push(seed);
+        }
+    }
+    assert!(failed.is_empty(), "no quorum with seeds {failed:?}");
+}
+
+/// Replaces, restarts or loses one or two keepers.
+fn lose_some(rng: &mut Pcg64, cluster: &mut KeeperCluster) {
+    let mut running = cluster.running();
+    running.shuffle(rng);
+    running.truncate(rng.random_range(1..=2));
+    match rng.random_range(0..4) {
+        0 => {
+            for _ in &running {
+                cluster.start_successor();
+            }
+            cluster.advance(CATCH_UP_MS);
+            cluster.stop(&running);
+        }
+        1 => {
+            for stopped in cluster.stop(&running) {
+                cluster.restart(&stopped);
+            }
+        }
+        2 => {
+            for id in running {
+                cluster.kill(id);
+                cluster.start_successor();
+            }
+        }
+        _ => {
+            for id in running {
+                let killed = cluster.kill(id);
+                cluster.advance(rng.random_range(0..200) * 5);
+                cluster.restart(&killed);
+            }
+        }
+    }
+}
