Leave out an endpoint that rejects a call as misdirected for that model alone

Cause: endpoints answer 421 to a model that they do not run. The entry took each 421 for an address that belongs to another endpoint, and left the endpoint out for all calls until it announced a restart; a call tries up to six endpoints.

The new tests failed before: after four calls for "large", calls for any model got 503; a call for an unknown model got 503 with a time to come back.

Change: a rejection counts for the model of its call and for 5 s. The decision is core::routing::MisdirectedModels. A call that names a model which its route does not list is refused at once and reaches no endpoint.

--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -22,6 +22,7 @@
 mod health;
 mod leaving_endpoints;
 mod load_aggregation;
+mod misdirection;
 mod placement;
 mod prefill_profile;
 mod prefix_directory;
@@ -80,6 +81,7 @@
 pub use health::{HealthSettings, PoolHealth};
 pub use leaving_endpoints::{EndpointProcess, LeavingEndpoints, LeavingStatement};
 pub use load_aggregation::{EndpointHash, LoadAggregator, LoadSummary, WaitingWork, endpoint_hash};
+pub use misdirection::MisdirectedModels;
 pub use placement::{
     EndpointCandidate, ModelLane, PlacementRequest, PlacementSettings, SelectedEndpoint,
     select_endpoint,
--- a/crates/core/tests/routing/main.rs
+++ b/crates/core/tests/routing/main.rs
@@ -19,6 +19,7 @@
 mod load_failures;
 mod load_fixture;
 mod load_spread;
+mod misdirection;
 mod placement;
 mod prefill_profile;
 mod prefix_directory;
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -320,7 +320,7 @@
         let is_misdirected = head.execution == ExecutionStatus::Misdirected;
         let mut state = context.state();
         if is_misdirected {
-            state.record_misdirected(id);
+            state.record_misdirected(now, &response.guard.endpoint);
         } else {
             state.record_full(now, id);
         }
--- a/crates/entry/src/forward/choice.rs
+++ b/crates/entry/src/forward/choice.rs
@@ -226,7 +226,6 @@
 
     fn accepts_calls(&self, endpoint: &EndpointState) -> bool {
         endpoint.notice.phase == EndpointPhase::Ready
-            && !endpoint.is_misdirected
             && !endpoint.is_leaving
             && !self.evacuated.contains(&endpoint.notice.domain)
     }
@@ -243,7 +242,7 @@
         self.sweep_warmups(now);
         let preference = self.version_preference(now, request);
         let mut outcome = Err(NoEndpoint::NoneReady);
-        for group in self.version_groups(&request.service.name, preference) {
+        for group in self.version_groups(now, request, preference) {
             outcome = self.choose_among(now, request, group);
             if outcome.is_ok() {
                 break;
@@ -404,11 +403,15 @@
     /// Endpoints that a call may go to, grouped by version, in order of preference.
     fn version_groups(
         &self,
-        service: &str,
+        now: TimePoint,
+        request: &SelectionRequest<'_>,
         preference: VersionPreference,
     ) -> Vec<Vec<&EndpointState>> {
+        let service = &*request.service.name;
+        let model_hash = request.prompt.model_hash;
         let available = self
             .available_endpoints(service)
+            .filter(|endpoint| endpoint.misdirected.accepts(now, model_hash))
             .filter(|endpoint| self.is_version_allowed(endpoint));
         let Some(rollout) = self.rollouts.get(service) else {
             return vec![available.collect()];
--- a/crates/entry/src/forward/codec.rs
+++ b/crates/entry/src/forward/codec.rs
@@ -188,6 +188,8 @@
     NoRoute,
     /// The API key is unknown or missing.
     UnknownKey,
+    /// The call names a model that its route does not have.
+    UnknownModel,
     /// The body exceeds the size limit.
     BodyTooLarge,
     /// A segment of the prompt makes endpoints fail; another attempt would be refused as well.
@@ -214,6 +216,7 @@
             Self::Malformed(_) => "malformed",
             Self::NoRoute => "no_route",
             Self::UnknownKey => "unknown_key",
+            Self::UnknownModel => "unknown_model",
             Self::BodyTooLarge => "body_too_large",
             Self::PromptBlocked => "prompt_blocked",
             Self::NotRun { .. } => "not_run",
@@ -229,6 +232,7 @@
             Self::Malformed(reason) => write!(f, "malformed: {reason}"),
             Self::NoRoute => write!(f, "no route"),
             Self::UnknownKey => write!(f, "unknown key"),
+            Self::UnknownModel => write!(f, "the route does not have the model"),
             Self::BodyTooLarge => write!(f, "the body is too large"),
             Self::PromptBlocked => write!(f, "a prompt segment makes endpoints fail"),
             Self::NotRun {
--- a/crates/entry/src/forward/inbound.rs
+++ b/crates/entry/src/forward/inbound.rs
@@ -17,7 +17,7 @@
 use chestnutloft_wire::clock;
 
 use super::body_memory::{BodyReadError, discard_rest};
-use super::codec::{CallHead, CallRefusal, MAX_URGENCY, PromptSegment};
+use super::codec::{CallHead, CallRefusal, MAX_URGENCY, PromptSegment, RequestedModel};
 use super::context::ForwardContext;
 use super::copy_calls::CopyLinks;
 
@@ -263,6 +263,9 @@
         }
         KeyLookup::Owner(workspace) => Some(workspace),
     };
+    if !has_model(route, &head.model) {
+        return Err(refuse_if_current(CallRefusal::UnknownModel));
+    }
     let share = pick_service(route, head).ok_or_else(|| refuse_if_current(CallRefusal::NoRoute))?;
     let service = table
         .service(&share.service)
@@ -270,6 +273,16 @@
     Ok((Arc::clone(route), Arc::clone(service), workspace))
 }
 
+/// Whether the route has the model that a call names, or lists no models.
+fn has_model(route: &RouteRule, model: &RequestedModel) -> bool {
+    match model {
+        RequestedModel::Named(name) if !route.models.is_empty() => {
+            route.models.iter().any(|known| **known == **name)
+        }
+        _ => true,
+    }
+}
+
 /// Picks one of a route's services by weight. The hash of the session, or of the call id without
 /// one, decides, so all calls of a session go to the same service.
 fn pick_service<'a>(route: &'a RouteRule, head: &CallHead) -> Option<&'a ServiceShare> {
--- a/crates/entry/src/forward/outcomes.rs
+++ b/crates/entry/src/forward/outcomes.rs
@@ -250,11 +250,12 @@
         }
     }
 
-    /// Records that another endpoint responds at the address: the endpoint gets no calls until it
-    /// announces that it has restarted.
-    pub fn record_misdirected(&mut self, id: &Arc<str>) {
-        if let Some(endpoint) = self.endpoints.get_mut(id) {
-            endpoint.is_misdirected = true;
+    /// Records that the call was rejected as meant for another endpoint. The endpoint gets no calls
+    /// for this model for some time, or until it announces that it has restarted.
+    pub fn record_misdirected(&mut self, now: TimePoint, chosen: &ChosenEndpoint) {
+        if let Some(endpoint) = self.endpoints.get_mut(&chosen.id) {
+            let model_hash = chosen.prefill.model_hash;
+            endpoint.misdirected.record(now, model_hash);
         }
     }
 
--- a/crates/entry/src/forward/state.rs
+++ b/crates/entry/src/forward/state.rs
@@ -9,12 +9,12 @@
 use chestnutloft_core::routing::{
     ArmCount, ArmKey, CapacityLedger, EndpointHash, EndpointNotice, EndpointPhase, EndpointProcess,
     EndpointRateLimiter, EndpointRest, EntryDemand, EventGapReport, EventGapTracker,
-    HealthSettings, IdleGap, LeavingEndpoints, PaceReadings, PlacementSettings, PoolHealth,
-    PrefillProfile, PrefillTimeEstimator, PrefixDirectory, QueueDelayEstimator, ReceivedSums,
-    RolloutStage, RolloutState, RoomShare, RouteDeclaration, RouteTable, RoutingRevision,
-    RoutingUpdate, SegmentAdmission, SegmentKnowledge, ServiceRetryBudget, ServiceRetrySettings,
-    SessionVersions, SlowStartControl, SpeedMeans, StatedLimits, TerminationHistory, WarmupCause,
-    endpoint_hash,
+    HealthSettings, IdleGap, LeavingEndpoints, MisdirectedModels, PaceReadings, PlacementSettings,
+    PoolHealth, PrefillProfile, PrefillTimeEstimator, PrefixDirectory, QueueDelayEstimator,
+    ReceivedSums, RolloutStage, RolloutState, RoomShare, RouteDeclaration, RouteTable,
+    RoutingRevision, RoutingUpdate, SegmentAdmission, SegmentKnowledge, ServiceRetryBudget,
+    ServiceRetrySettings, SessionVersions, SlowStartControl, SpeedMeans, StatedLimits,
+    TerminationHistory, WarmupCause, endpoint_hash,
 };
 use chestnutloft_core::time::TimePoint;
 
@@ -40,8 +40,8 @@
     pub(super) in_flight: usize,
     /// Latest load report of the endpoint.
     pub(super) report: Option<LoadReport>,
-    /// Another endpoint responded at the address.
-    pub(super) is_misdirected: bool,
+    /// Calls that the address has rejected as meant for another endpoint.
+    pub(super) misdirected: MisdirectedModels,
     /// The endpoint has said that it leaves.
     pub(super) is_leaving: bool,
     /// Time for which the endpoint has asked for no calls.
@@ -299,7 +299,7 @@
                 self.health.forget(&notice.id);
                 self.prefixes.forget(endpoint_hash(&notice.id));
                 known.report = None;
-                known.is_misdirected = false;
+                known.misdirected = MisdirectedModels::default();
                 known.is_leaving = is_leaving;
                 known.rest = EndpointRest::default();
             }
@@ -312,7 +312,7 @@
                 cold_until,
                 in_flight: 0,
                 report: None,
-                is_misdirected: false,
+                misdirected: MisdirectedModels::default(),
                 is_leaving,
                 rest: EndpointRest::default(),
             };
