--- a/crates/keeper/tests/replacement/main.rs
+++ b/crates/keeper/tests/replacement/main.rs
@@ -54,7 +54,7 @@
     let mut failed = Vec::new();
     for seed in 0..SEEDS {
         let mut rng = Pcg64::seed_from_u64(seed);
-        let count = rng.random_range(1..=3);
+        let count = rng.random_range(1..=4);
         let mut cluster = cluster_with_successors(seed, count);
 
         for old in drawn_founders(&mut rng, count) {
@@ -113,6 +113,23 @@
     }
 }
 
+/// Guards against keepers of which none can leave while all the others leave as well.
+#[test]
+fn all_founders_may_be_replaced_at_once() {
+    let mut failed: Vec<u64> = Vec::new();
+    for seed in 0..SEEDS / 4 {
+        let mut cluster = cluster_with_successors(seed, FOUNDERS as usize);
+        let mut rng = Pcg64::seed_from_u64(seed);
+
+        cluster.stop(&drawn_founders(&mut rng, FOUNDERS as usize));
+
+        if !has_recovered(&mut cluster) {
+            failed.push(seed);
+        }
+    }
+    assert!(failed.is_empty(), "no quorum with seeds {failed:?}");
+}
+
 /// Guards against keepers that wait for each other when all of them are stopped at once.
 #[test]
 fn keepers_that_all_stop_keep_their_votes_and_return() {
