Keep a keeper that leaves from asking to join again

A removed keeper loses sight of the leader, and asked to join after 1.5 s although it was about to stop: it could come back as a learner that ends. Found in the review of the change that lets keepers leave; not seen in a run.

--- a/crates/keeper/src/actor.rs
+++ b/crates/keeper/src/actor.rs
@@ -82,7 +82,8 @@
 /// Membership as this replica knows it.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct MembershipView {
-    /// Whether it is a member and was in contact with a leader recently, or leads.
+    /// Whether it is a member and was in contact with a leader recently, or leads. Also while it
+    /// leaves, so that it does not ask to join again.
     pub is_active_member: bool,
     /// RPC addresses of the voters that it knows.
     pub members: Vec<String>,
--- a/crates/keeper/src/actor_routing.rs
+++ b/crates/keeper/src/actor_routing.rs
@@ -129,9 +129,10 @@
         if self.core.has_leader_contact(now) {
             self.last_leader_contact = now;
         }
+        let has_contact = now.since(self.last_leader_contact) < LEADER_CONTACT_TIMEOUT;
+        let is_leaving = self.core.leave_status().is_some();
         MembershipView {
-            is_active_member: is_member
-                && now.since(self.last_leader_contact) < LEADER_CONTACT_TIMEOUT,
+            is_active_member: is_leaving || is_member && has_contact,
             members: config.voters.values().cloned().collect(),
         }
     }
