Tell rejected models apart by the name that was sent

Found in review.

Change: the hash of the model that the call is sent for has its own field in the selection, and an address keeps 64 models at most.

--- a/crates/core/src/routing/misdirection.rs
+++ b/crates/core/src/routing/misdirection.rs
@@ -9,26 +9,42 @@
 /// endpoint is removed sooner if its address has a new owner that announces itself.
 const REJECTION_TTL: Duration = Duration::from_secs(5);
 
+/// Maximum number of models that are kept for an address. Callers may name any model.
+const MAX_MODELS: usize = 64;
+
+/// Hash of the name of the model that a call is sent for.
+pub type ModelHash = u64;
+
 /// Rejections of calls at the address of one endpoint. They may mean that another process listens
 /// there, or only that the endpoint does not run the model, so each one counts for its model alone
 /// and for a limited time.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct MisdirectedModels {
-    /// Hash of each model, with the time until which its calls go elsewhere.
-    until: BTreeMap<u64, TimePoint>,
+    /// Time until which the calls of each model go elsewhere.
+    until: BTreeMap<ModelHash, TimePoint>,
 }
 
 impl MisdirectedModels {
-    /// Records that a call for the model with this hash was rejected as misdirected.
-    pub fn record(&mut self, now: TimePoint, model_hash: u64) {
+    /// Records that a call for `model` was rejected as misdirected.
+    pub fn record(&mut self, now: TimePoint, model: ModelHash) {
         self.until.retain(|_, until| now < *until);
-        self.until.insert(model_hash, now + REJECTION_TTL);
+        let is_full = self.until.len() >= MAX_MODELS && !self.until.contains_key(&model);
+        let oldest = self.until.iter().min_by_key(|(_, until)| **until);
+        if let Some(oldest) = oldest.map(|(model, _)| *model)
+            && is_full
+        {
+            self.until.remove(&oldest);
+        }
+        self.until.insert(model, now + REJECTION_TTL);
+    }
+
+    /// Whether calls for `model` may be sent to the endpoint.
+    pub fn accepts(&self, now: TimePoint, model: ModelHash) -> bool {
+        self.until.get(&model).is_none_or(|until| now >= *until)
     }
 
-    /// Whether calls for the model with this hash may be sent to the endpoint.
-    pub fn accepts(&self, now: TimePoint, model_hash: u64) -> bool {
-        self.until
-            .get(&model_hash)
-            .is_none_or(|until| now >= *until)
+    /// Whether the address has rejected no call lately.
+    pub fn accepts_all(&self, now: TimePoint) -> bool {
+        self.until.values().all(|until| now >= *until)
     }
 }
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -81,7 +81,7 @@
 pub use health::{HealthSettings, PoolHealth};
 pub use leaving_endpoints::{EndpointProcess, LeavingEndpoints, LeavingStatement};
 pub use load_aggregation::{EndpointHash, LoadAggregator, LoadSummary, WaitingWork, endpoint_hash};
-pub use misdirection::MisdirectedModels;
+pub use misdirection::{MisdirectedModels, ModelHash};
 pub use placement::{
     EndpointCandidate, ModelLane, PlacementRequest, PlacementSettings, SelectedEndpoint,
     select_endpoint,
--- a/crates/core/tests/routing/misdirection.rs
+++ b/crates/core/tests/routing/misdirection.rs
@@ -31,3 +31,18 @@
     assert!(!misdirected.accepts(at(4_999), SMALL));
     assert!(misdirected.accepts(at(5_000), SMALL));
 }
+
+/// Guards against memory that callers fill by naming ever other models.
+#[test]
+fn number_of_models_is_bounded() {
+    let mut misdirected = MisdirectedModels::default();
+    misdirected.record(at(0), SMALL);
+
+    for number in 0..200 {
+        misdirected.record(at(1), 1_000 + number);
+    }
+
+    assert!(misdirected.accepts(at(2), SMALL));
+    assert!(!misdirected.accepts(at(2), 1_199));
+    assert!(!misdirected.accepts_all(at(2)) && misdirected.accepts_all(at(5_001)));
+}
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -10,7 +10,7 @@
 use hyper::{Request, StatusCode};
 
 use chestnutloft_core::execution::AttemptEnd;
-use chestnutloft_core::routing::{CallKind, LostCall};
+use chestnutloft_core::routing::{CallKind, LostCall, ModelHash};
 use chestnutloft_core::time::TimePoint;
 use chestnutloft_wire::clock;
 use chestnutloft_wire::http::is_final_status;
@@ -269,7 +269,7 @@
             is_misdirected: false,
         });
     }
-    check_response(context, response)
+    check_response(context, response, call.sent_model(model))
 }
 
 /// Whether the endpoint does not have the copy that the attempt was to go on from. It has not run
@@ -282,8 +282,9 @@
 fn check_response(
     context: &ForwardContext,
     mut response: EndpointResponse,
+    sent_model: ModelHash,
 ) -> Result<EndpointResponse, AttemptFailure> {
-    let checked = validate_head(context, &response);
+    let checked = validate_head(context, &response, sent_model);
     if let Err(failure) = &checked {
         response.guard.mark_logged();
         if matches!(failure, AttemptFailure::NotRun { .. }) {
@@ -296,6 +297,7 @@
 fn validate_head(
     context: &ForwardContext,
     response: &EndpointResponse,
+    sent_model: ModelHash,
 ) -> Result<(), AttemptFailure> {
     let head = &response.head;
     let id = &response.guard.endpoint.id;
@@ -320,7 +322,7 @@
         let is_misdirected = head.execution == ExecutionStatus::Misdirected;
         let mut state = context.state();
         if is_misdirected {
-            state.record_misdirected(now, &response.guard.endpoint);
+            state.record_misdirected(now, id, sent_model);
         } else {
             state.record_full(now, id);
         }
--- a/crates/entry/src/forward/choice.rs
+++ b/crates/entry/src/forward/choice.rs
@@ -8,8 +8,8 @@
 use chestnutloft_core::hash::key_hash;
 use chestnutloft_core::routing::{
     CapacityClaim, EndpointCandidate, EndpointNotice, EndpointPhase, EndpointRateLimiter,
-    ModelLane, PlacementRequest, PoolLoad, QueueState, RolloutStage, RolloutState, ServiceRule,
-    SessionHash, VersionPreference, select_endpoint, session_hash,
+    ModelHash, ModelLane, PlacementRequest, PoolLoad, QueueState, RolloutStage, RolloutState,
+    ServiceRule, SessionHash, VersionPreference, select_endpoint, session_hash,
 };
 use chestnutloft_core::time::TimePoint;
 use chestnutloft_wire::message::RolloutAge;
@@ -40,6 +40,8 @@
     pub prompt: PromptSize,
     /// Group of endpoints preferred for the size of the call's model.
     pub lane: ModelLane,
+    /// Model that the call is sent for.
+    pub sent_model: ModelHash,
     /// Endpoints that the call has already been sent to.
     pub tried: &'a BTreeSet<Arc<str>>,
     /// Tokens that the answer is expected to have.
@@ -408,10 +410,9 @@
         preference: VersionPreference,
     ) -> Vec<Vec<&EndpointState>> {
         let service = &*request.service.name;
-        let model_hash = request.prompt.model_hash;
         let available = self
             .available_endpoints(service)
-            .filter(|endpoint| endpoint.misdirected.accepts(now, model_hash))
+            .filter(|endpoint| endpoint.misdirected.accepts(now, request.sent_model))
             .filter(|endpoint| self.is_version_allowed(endpoint));
         let Some(rollout) = self.rollouts.get(service) else {
             return vec![available.collect()];
--- a/crates/entry/src/forward/copy_choice.rs
+++ b/crates/entry/src/forward/copy_choice.rs
@@ -69,7 +69,7 @@
             let process = EndpointProcess::new(&notice.id, notice.born_ms);
             notice.version == source.version
                 && notice.id != source.id
-                && endpoint.misdirected.accepts(now, source.prefill.model_hash)
+                && endpoint.misdirected.accepts_all(now)
                 && !self.terminations.contains(now, process)
                 && endpoint.rest.left(now).is_none()
                 && endpoint.in_flight < max_connections
--- a/crates/entry/src/forward/outcomes.rs
+++ b/crates/entry/src/forward/outcomes.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use chestnutloft_core::routing::{
-    ArmCount, ArmKey, EndpointPhase, EndpointProcess, EntryDemand, LoadSummary, QueueState,
-    WaitingWork, WarmupCause, endpoint_hash,
+    ArmCount, ArmKey, EndpointPhase, EndpointProcess, EntryDemand, LoadSummary, ModelHash,
+    QueueState, WaitingWork, WarmupCause, endpoint_hash,
 };
 use chestnutloft_core::time::TimePoint;
 
@@ -250,12 +250,11 @@
         }
     }
 
-    /// Records that the call was rejected as meant for another endpoint. The endpoint gets no calls
-    /// for this model for some time, or until it announces that it has restarted.
-    pub fn record_misdirected(&mut self, now: TimePoint, chosen: &ChosenEndpoint) {
-        if let Some(endpoint) = self.endpoints.get_mut(&chosen.id) {
-            let model_hash = chosen.prefill.model_hash;
-            endpoint.misdirected.record(now, model_hash);
+    /// Records that the endpoint's address rejected a call for `model` as meant for another endpoint.
+    /// It gets no calls for this model for some time, or until it announces that it has restarted.
+    pub fn record_misdirected(&mut self, now: TimePoint, id: &Arc<str>, model: ModelHash) {
+        if let Some(endpoint) = self.endpoints.get_mut(id) {
+            endpoint.misdirected.record(now, model);
         }
     }
 
--- a/crates/entry/src/forward/pipeline.rs
+++ b/crates/entry/src/forward/pipeline.rs
@@ -235,6 +235,7 @@
             session: self.call.session_key(),
             prompt: self.prompt(),
             lane: self.lane(),
+            sent_model: self.call.sent_model(self.model().as_deref()),
             tried: &self.tried,
             output_tokens: self.expected_output_tokens(),
             max_pause: self.call.target_gap(),
@@ -276,10 +277,7 @@
     /// Size of the prompt for one of the route's models.
     pub(super) fn prompt_for(&self, model_index: usize) -> PromptSize {
         let model = self.model_at(model_index);
-        let model = match &self.call.head.model {
-            RequestedModel::Named(name) => name,
-            _ => model.as_deref().unwrap_or(&self.call.route.name),
-        };
+        let model = model.as_deref().unwrap_or(&self.call.route.name);
         let model_hash = key_hash(model.as_bytes());
         let Some((suffix, prefix)) = self.call.head.prompt.split_last() else {
             return PromptSize {
--- a/crates/entry/tests/slow_start.rs
+++ b/crates/entry/tests/slow_start.rs
@@ -116,6 +116,7 @@
         session,
         prompt: PromptSize::default(),
         lane: ModelLane::Any,
+        sent_model: 0,
         tried: &tried,
         output_tokens: 0.0,
         max_pause: std::time::Duration::from_secs(2),
