--- a/crates/core/src/routing/directory.rs
+++ b/crates/core/src/routing/directory.rs
@@ -47,6 +47,8 @@
     pub phase: EndpointPhase,
     /// Remaining warm-up time when the notice was sent, in milliseconds.
     pub cold_left_ms: u64,
+    /// Names of the models that it runs; `None` if it names none.
+    pub models: Option<Arc<[Arc<str>]>>,
 }
 
 impl EndpointNotice {
@@ -64,6 +66,7 @@
             slots: 0,
             phase: EndpointPhase::Gone,
             cold_left_ms: 0,
+            models: None,
         }
     }
 
@@ -142,6 +145,7 @@
             && known.version == notice.version
             && known.slots == notice.slots
             && known.phase == notice.phase
+            && known.models == notice.models
             // The remaining warm-up time shrinks with each notice of a cold endpoint. Only an
             // increase means that the endpoint has turned cold again.
             && notice.cold_left_ms <= known.cold_left_ms;
--- a/crates/core/src/routing/misdirection.rs
+++ b/crates/core/src/routing/misdirection.rs
@@ -38,9 +38,20 @@
         self.until.insert(model, now + REJECTION_TTL);
     }
 
+    /// Removes the rejections of `model`.
+    pub fn forget(&mut self, model: ModelHash) {
+        self.until.remove(&model);
+    }
+
     /// Whether calls for `model` may be sent to the endpoint.
     pub fn accepts(&self, now: TimePoint, model: ModelHash) -> bool {
-        self.until.get(&model).is_none_or(|until| now >= *until)
+        self.left(now, model).is_none()
+    }
+
+    /// Time until calls for `model` may be sent to the endpoint; `None` if they may be now.
+    pub fn left(&self, now: TimePoint, model: ModelHash) -> Option<Duration> {
+        let until = self.until.get(&model).filter(|until| now < **until);
+        until.map(|until| until.since(now))
     }
 
     /// Whether the address has rejected no call lately.
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -23,6 +23,8 @@
 mod leaving_endpoints;
 mod load_aggregation;
 mod misdirection;
+mod model_order;
+mod model_support;
 mod placement;
 mod prefill_profile;
 mod prefix_directory;
@@ -82,6 +84,8 @@
 pub use leaving_endpoints::{EndpointProcess, LeavingEndpoints, LeavingStatement};
 pub use load_aggregation::{EndpointHash, LoadAggregator, LoadSummary, WaitingWork, endpoint_hash};
 pub use misdirection::{MisdirectedModels, ModelHash};
+pub use model_order::{HostLoad, ModelOrderSettings, order_models};
+pub use model_support::{ModelSupport, SentModel};
 pub use placement::{
     EndpointCandidate, ModelLane, PlacementRequest, PlacementSettings, SelectedEndpoint,
     select_endpoint,
--- a/crates/core/tests/routing/directory.rs
+++ b/crates/core/tests/routing/directory.rs
@@ -1,6 +1,7 @@
-use chestnutloft_core::routing::{EndpointDirectory, EndpointNotice, EndpointPhase, NoticeOutcome};
 use std::sync::Arc;
 
+use chestnutloft_core::routing::{EndpointDirectory, EndpointNotice, EndpointPhase, NoticeOutcome};
+
 use crate::fixture::notice;
 
 fn phase(directory: &EndpointDirectory, id: &str) -> Option<EndpointPhase> {
@@ -178,3 +179,21 @@
     assert!(directory.iter().count() <= 2_001);
     assert!(directory.get("e4999").is_some());
 }
+
+/// Guards against entries that never learn that an endpoint runs other models.
+#[test]
+fn notice_with_other_models_changes_the_endpoint() {
+    let mut directory = EndpointDirectory::default();
+    directory.apply(1, &notice("a", 100, 1));
+    let models: Arc<[Arc<str>]> = Arc::from([Arc::from("small")]);
+    let with_models = |sequence| EndpointNotice {
+        models: Some(Arc::clone(&models)),
+        ..notice("a", 100, sequence)
+    };
+
+    assert_eq!(directory.apply(2, &with_models(2)), NoticeOutcome::Changes);
+    assert_eq!(
+        directory.apply(3, &with_models(3)),
+        NoticeOutcome::Refreshes
+    );
+}
--- a/crates/core/tests/routing/fixture.rs
+++ b/crates/core/tests/routing/fixture.rs
@@ -83,5 +83,6 @@
         slots: 6,
         phase: EndpointPhase::Ready,
         cold_left_ms: 0,
+        models: None,
     }
 }
--- a/crates/core/tests/routing/main.rs
+++ b/crates/core/tests/routing/main.rs
@@ -20,6 +20,8 @@
 mod load_fixture;
 mod load_spread;
 mod misdirection;
+mod model_order;
+mod model_support;
 mod placement;
 mod prefill_profile;
 mod prefix_directory;
--- a/crates/entry/src/forward/admission.rs
+++ b/crates/entry/src/forward/admission.rs
@@ -122,7 +122,7 @@
 
     /// Chooses an endpoint if the call has time for an attempt.
     fn try_choose(
-        &self,
+        &mut self,
         now: TimePoint,
         limits: CapacityLimits,
     ) -> Result<Result<AttemptGuard, NoEndpoint>, CallRefusal> {
@@ -133,6 +133,7 @@
             Err(no_endpoint @ NoEndpoint::AtRest { left }) => {
                 Err(self.refusal_for(now, no_endpoint.reason(), left))
             }
+            Err(NoEndpoint::NoModel { left }) => Err(self.no_model_refusal(now, left)),
             outcome => Ok(outcome),
         }
     }
@@ -140,7 +141,7 @@
     /// Tries on each event that may have freed capacity, for a share of the latency target after
     /// `started_at`.
     async fn choose_within_bound(
-        &self,
+        &mut self,
         started_at: TimePoint,
     ) -> Result<AttemptGuard, CallRefusal> {
         let mut changed = self.context.capacity_changed.subscribe();
@@ -165,18 +166,18 @@
     }
 
     /// Chooses an endpoint once it is the call's turn.
-    async fn choose_in_turn(&self) -> Result<AttemptGuard, CallRefusal> {
+    async fn choose_in_turn(&mut self) -> Result<AttemptGuard, CallRefusal> {
         let now = clock::now();
-        let queued = self.queued_call(now);
-        let service = &self.call.service.name;
         let mut reason = "calls that are as urgent wait for an endpoint";
-        let must_wait = self.context.admission.must_wait(now, service, queued.class);
+        let (service, class) = (&self.call.service.name, self.priority_class());
+        let must_wait = self.context.admission.must_wait(now, service, class);
         if !must_wait {
             match self.try_choose(now, self.class_limits())? {
                 Ok(guard) => return Ok(guard),
                 Err(no_endpoint) => reason = no_endpoint.reason(),
             }
         }
+        let queued = self.queued_call(now);
         let place = match QueuePlace::join(&self.context, now, &self.call, &queued) {
             Ok(place) => place,
             Err(error) => {
@@ -193,7 +194,7 @@
 
     /// Tries when it is the call's turn, until its time is over.
     async fn wait_for_turn(
-        &self,
+        &mut self,
         place: QueuePlace,
         joined_at: TimePoint,
     ) -> Result<AttemptGuard, CallRefusal> {
@@ -237,7 +238,7 @@
     /// of `cause`: nothing is refused while places are free. A call that holds an answer relays it
     /// instead, which is no refusal.
     fn choose_or_refuse(
-        &self,
+        &mut self,
         now: TimePoint,
         reason: &'static str,
         cause: &RefusalCause,
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -10,7 +10,7 @@
 use hyper::{Request, StatusCode};
 
 use chestnutloft_core::execution::AttemptEnd;
-use chestnutloft_core::routing::{CallKind, LostCall, ModelHash};
+use chestnutloft_core::routing::{CallKind, LostCall};
 use chestnutloft_core::time::TimePoint;
 use chestnutloft_wire::clock;
 use chestnutloft_wire::http::is_final_status;
@@ -37,7 +37,8 @@
     Unreachable(String),
     /// The endpoint rejected the call without running it.
     NotRun {
-        /// Whether the address belongs to another endpoint; otherwise the endpoint is full.
+        /// Whether the address belongs to another endpoint or the endpoint does not run the model;
+        /// otherwise the endpoint is full.
         is_misdirected: bool,
     },
     /// The connection failed or the response is invalid; the call may have run.
@@ -269,7 +270,7 @@
             is_misdirected: false,
         });
     }
-    check_response(context, response, call.sent_model(model))
+    check_response(context, response)
 }
 
 /// Whether the endpoint does not have the copy that the attempt was to go on from. It has not run
@@ -282,9 +283,8 @@
 fn check_response(
     context: &ForwardContext,
     mut response: EndpointResponse,
-    sent_model: ModelHash,
 ) -> Result<EndpointResponse, AttemptFailure> {
-    let checked = validate_head(context, &response, sent_model);
+    let checked = validate_head(context, &response);
     if let Err(failure) = &checked {
         response.guard.mark_logged();
         if matches!(failure, AttemptFailure::NotRun { .. }) {
@@ -297,7 +297,6 @@
 fn validate_head(
     context: &ForwardContext,
     response: &EndpointResponse,
-    sent_model: ModelHash,
 ) -> Result<(), AttemptFailure> {
     let head = &response.head;
     let id = &response.guard.endpoint.id;
@@ -322,7 +321,8 @@
         let is_misdirected = head.execution == ExecutionStatus::Misdirected;
         let mut state = context.state();
         if is_misdirected {
-            state.record_misdirected(now, id, sent_model);
+            let guard = &response.guard;
+            state.record_misdirected(now, guard.started_at, &guard.endpoint);
         } else {
             state.record_full(now, id);
         }
--- a/crates/entry/src/forward/capacity.rs
+++ b/crates/entry/src/forward/capacity.rs
@@ -209,7 +209,8 @@
             ..self.prefill_estimate(&request.prompt, candidate.has_prefix)
         };
         let notice = &with_room[chosen].notice;
-        Ok(ChosenEndpoint::new(notice, prefill, Some(claim)))
+        let model = request.sent_model;
+        Ok(ChosenEndpoint::new(notice, model, prefill, Some(claim)))
     }
 
     /// Number of calls with `claim` that the endpoint may take. Plain services have no such bound:
--- a/crates/entry/src/forward/choice.rs
+++ b/crates/entry/src/forward/choice.rs
@@ -8,8 +8,8 @@
 use chestnutloft_core::hash::key_hash;
 use chestnutloft_core::routing::{
     CapacityClaim, EndpointCandidate, EndpointNotice, EndpointPhase, EndpointRateLimiter,
-    ModelHash, ModelLane, PlacementRequest, PoolLoad, QueueState, RolloutStage, RolloutState,
-    ServiceRule, SessionHash, VersionPreference, select_endpoint, session_hash,
+    ModelLane, PlacementRequest, QueueState, RolloutStage, RolloutState, SentModel, ServiceRule,
+    SessionHash, VersionPreference, select_endpoint, session_hash,
 };
 use chestnutloft_core::time::TimePoint;
 use chestnutloft_wire::message::RolloutAge;
@@ -41,7 +41,7 @@
     /// Group of endpoints preferred for the size of the call's model.
     pub lane: ModelLane,
     /// Model that the call is sent for.
-    pub sent_model: ModelHash,
+    pub sent_model: SentModel,
     /// Endpoints that the call has already been sent to.
     pub tried: &'a BTreeSet<Arc<str>>,
     /// Tokens that the answer is expected to have.
@@ -83,6 +83,8 @@
     pub address: Arc<str>,
     /// Service version that it runs.
     pub version: Arc<str>,
+    /// Model that the call is sent for.
+    pub model: SentModel,
     /// Expected prefill of the call at this endpoint.
     pub prefill: PrefillEstimate,
     /// Room that the call takes there; `None` where capacity is not managed.
@@ -90,9 +92,10 @@
 }
 
 impl ChosenEndpoint {
-    /// The endpoint of `notice`.
+    /// The endpoint of `notice`, for a call for `model`.
     pub fn new(
         notice: &EndpointNotice,
+        model: SentModel,
         prefill: PrefillEstimate,
         claim: Option<CapacityClaim>,
     ) -> Self {
@@ -101,6 +104,7 @@
             born_ms: notice.born_ms,
             address: Arc::clone(&notice.address),
             version: Arc::clone(&notice.version),
+            model,
             prefill,
             claim,
         }
@@ -175,9 +179,20 @@
         /// Time until the first of them takes calls again.
         left: Duration,
     },
+    /// No endpoint runs the model.
+    NoModel {
+        /// Time until one of those that have rejected it lately may be asked again; zero if there is
+        /// none.
+        left: Duration,
+    },
 }
 
 impl NoEndpoint {
+    /// Whether a call refuses to wait for this to change.
+    pub fn ends_waiting(self) -> bool {
+        matches!(self, Self::AtRest { .. } | Self::NoModel { .. })
+    }
+
     /// The reason that a refusal states.
     pub fn reason(self) -> &'static str {
         match self {
@@ -186,32 +201,23 @@
             Self::ConnectionsInUse => "all connections are in use",
             Self::Full => "the places of all endpoints are taken",
             Self::AtRest { .. } => "the endpoints have asked for no calls",
+            Self::NoModel { .. } => "no endpoint runs a model that the call may take",
         }
     }
 }
 
 impl EntryState {
-    /// How busy the endpoints of a service are.
-    pub fn pool_load(&self, now: TimePoint, service: &str) -> PoolLoad {
-        let available = self.available_endpoints(service);
-        let is_managed = self.is_capacity_managed(service);
-        let (mut wait_ms, mut load, mut slots, mut count) = (0.0, 0.0, 0.0, 0.0);
-        for endpoint in available {
-            wait_ms += self.queue_delays.wait_ms(now, &endpoint.notice.id);
-            load += if is_managed {
-                self.endpoint_usage(now, endpoint).calls
-            } else {
-                endpoint.load(now)
-            };
-            slots += f64::from(endpoint.notice.slots);
-            count += 1.0;
-        }
-        let event_gap = self.large_model_event_gap.report(now);
-        let event_gap = event_gap.merge(self.peer_event_gap).mean();
-        PoolLoad {
-            queue_delay: Duration::from_secs_f64(wait_ms / f64::max(count, 1.0) / 1_000.0),
-            utilization: load / f64::max(slots, 1.0),
-            slowdown: self.idle_event_gap.slowdown(event_gap),
+    /// Calls that the endpoint runs and queues, as the choice of models and escalations counts them.
+    pub(super) fn calls_at(
+        &self,
+        now: TimePoint,
+        endpoint: &EndpointState,
+        is_managed: bool,
+    ) -> f64 {
+        if is_managed {
+            self.endpoint_usage(now, endpoint).calls
+        } else {
+            endpoint.load(now)
         }
     }
 
@@ -242,14 +248,20 @@
         request: &SelectionRequest<'_>,
     ) -> Result<ChosenEndpoint, NoEndpoint> {
         self.sweep_warmups(now);
-        let preference = self.version_preference(now, request);
-        let mut outcome = Err(NoEndpoint::NoneReady);
-        for group in self.version_groups(now, request, preference) {
-            outcome = self.choose_among(now, request, group);
-            if outcome.is_ok() {
+        let mut outcome = None;
+        let runs = |endpoint: &EndpointState| endpoint.models.accepts(now, request.sent_model);
+        for group in self.version_groups(now, request.service, request.session, runs) {
+            if group.is_empty() {
+                continue;
+            }
+            let choice = self.choose_among(now, request, group);
+            let is_chosen = choice.is_ok();
+            outcome = Some(choice);
+            if is_chosen {
                 break;
             }
         }
+        let outcome = outcome.unwrap_or_else(|| Err(self.unavailability(now, request)));
         if let Ok(endpoint) = &outcome {
             self.record_session(now, request, &endpoint.version);
         }
@@ -262,9 +274,6 @@
         request: &SelectionRequest<'_>,
         available: Vec<&EndpointState>,
     ) -> Result<ChosenEndpoint, NoEndpoint> {
-        if available.is_empty() {
-            return Err(NoEndpoint::NoneReady);
-        }
         let rests = available.iter().map(|endpoint| endpoint.rest.left(now));
         let soonest_end = rests.map(Option::unwrap_or_default).min();
         if let Some(left) = soonest_end.filter(|left| !left.is_zero()) {
@@ -311,7 +320,8 @@
             wait_ms: candidates[chosen.index].wait_ms,
             ..self.prefill_estimate(&request.prompt, chosen.owns_prefix)
         };
-        Ok(ChosenEndpoint::new(notice, prefill, None))
+        let model = request.sent_model;
+        Ok(ChosenEndpoint::new(notice, model, prefill, None))
     }
 
     /// Expected prefill of `prompt` at an idle endpoint, which may have the shared prefix cached.
@@ -402,24 +412,26 @@
         })
     }
 
-    /// Endpoints that a call may go to, grouped by version, in order of preference.
-    fn version_groups(
+    /// Endpoints that a call of `session` may go to and that run its model, grouped by version, in
+    /// order of preference.
+    pub(super) fn version_groups(
         &self,
         now: TimePoint,
-        request: &SelectionRequest<'_>,
-        preference: VersionPreference,
+        service: &ServiceRule,
+        session: u64,
+        runs_model: impl Fn(&EndpointState) -> bool,
     ) -> Vec<Vec<&EndpointState>> {
-        let service = &*request.service.name;
+        let service = &*service.name;
         let available = self
             .available_endpoints(service)
-            .filter(|endpoint| endpoint.misdirected.accepts(now, request.sent_model))
+            .filter(|endpoint| runs_model(endpoint))
             .filter(|endpoint| self.is_version_allowed(endpoint));
         let Some(rollout) = self.rollouts.get(service) else {
             return vec![available.collect()];
         };
         let (target, old): (Vec<_>, Vec<_>) =
             available.partition(|endpoint| endpoint.notice.version == rollout.order.target);
-        match preference {
+        match self.version_preference(now, service, session) {
             VersionPreference::TargetFirst => vec![target, old],
             VersionPreference::Target if target.is_empty() => vec![old],
             VersionPreference::Target => vec![target],
@@ -432,19 +444,14 @@
         }
     }
 
-    fn version_preference(
-        &self,
-        now: TimePoint,
-        request: &SelectionRequest<'_>,
-    ) -> VersionPreference {
-        let service = &request.service.name;
+    fn version_preference(&self, now: TimePoint, service: &str, session: u64) -> VersionPreference {
         match self.rollouts.get(service).map(|rollout| rollout.stage) {
             // The entries are still exchanging their active sessions.
             Some(RolloutStage::Trial) if !self.has_trial_delay_passed(now, service) => {
                 VersionPreference::Old
             }
             Some(RolloutStage::Trial) => {
-                let hash = session_hash(service, request.session);
+                let hash = session_hash(service, session);
                 let idle_timeout = self.limits.session;
                 self.sessions
                     .preference(now, hash, self.trial_share(), idle_timeout)
--- a/crates/entry/src/forward/codec.rs
+++ b/crates/entry/src/forward/codec.rs
@@ -128,7 +128,8 @@
     MayHaveRun,
     /// The call has not run and will not.
     NotRun,
-    /// The call has not run: the address belongs to another endpoint.
+    /// The call has not run: the address belongs to another endpoint, or to one that does not run
+    /// the model.
     Misdirected,
 }
 
@@ -203,6 +204,13 @@
         /// Delay after which to retry.
         retry_after: Duration,
     },
+    /// No endpoint runs a model that the call may take. The call has not run; the caller may retry.
+    NoModel {
+        /// Why this is certain.
+        proof: NotRunProof,
+        /// Delay after which to retry.
+        retry_after: Duration,
+    },
     /// The deadline has passed; the call may have run.
     TimedOut,
     /// An endpoint failed; the call may have run.
@@ -220,6 +228,7 @@
             Self::BodyTooLarge => "body_too_large",
             Self::PromptBlocked => "prompt_blocked",
             Self::NotRun { .. } => "not_run",
+            Self::NoModel { .. } => "no_model",
             Self::TimedOut => "timed_out",
             Self::Failed(_) => "failed",
         }
@@ -244,6 +253,11 @@
                 "not run: {reason}; come back in {} ms",
                 retry_after.as_millis()
             ),
+            Self::NoModel { retry_after, .. } => write!(
+                f,
+                "not run: no endpoint runs a model that the call may take; come back in {} ms",
+                retry_after.as_millis()
+            ),
             Self::TimedOut => write!(f, "timed out"),
             Self::Failed(reason) => write!(f, "failed: {reason}"),
         }
--- a/crates/entry/src/forward/completion.rs
+++ b/crates/entry/src/forward/completion.rs
@@ -10,6 +10,7 @@
 use chestnutloft_wire::http::AnyBody;
 
 use super::attempt::EndpointResponse;
+use super::choice::NoEndpoint;
 use super::codec::CallRefusal;
 use super::pipeline::{CallExecution, MIN_ATTEMPT_TIME};
 
@@ -86,6 +87,17 @@
         }
     }
 
+    /// The refusal of a call whose models no endpoint runs, for `min_delay` at least.
+    pub(super) fn no_model_refusal(&self, now: TimePoint, min_delay: Duration) -> CallRefusal {
+        let reason = NoEndpoint::NoModel { left: min_delay }.reason();
+        match self.refusal_for(now, reason, min_delay) {
+            CallRefusal::NotRun {
+                proof, retry_after, ..
+            } => CallRefusal::NoModel { proof, retry_after },
+            refusal => refusal,
+        }
+    }
+
     /// Logs and counts `refusal` and builds the response for the caller.
     pub(super) fn refuse(&self, refusal: &CallRefusal) -> Response<AnyBody> {
         self.context
--- a/crates/entry/src/forward/copy_choice.rs
+++ b/crates/entry/src/forward/copy_choice.rs
@@ -69,7 +69,8 @@
             let process = EndpointProcess::new(&notice.id, notice.born_ms);
             notice.version == source.version
                 && notice.id != source.id
-                && endpoint.misdirected.accepts_all(now)
+                && endpoint.models.accepts(now, source.model)
+                && endpoint.models.accepts_all(now)
                 && !self.terminations.contains(now, process)
                 && endpoint.rest.left(now).is_none()
                 && endpoint.in_flight < max_connections
@@ -136,7 +137,8 @@
 
 /// An endpoint that goes on from a copy of a run at `source` and prefills nothing.
 fn copy_endpoint(notice: &EndpointNotice, source: &ChosenEndpoint) -> ChosenEndpoint {
-    ChosenEndpoint::new(notice, PrefillEstimate::default(), source.claim)
+    let prefill = PrefillEstimate::default();
+    ChosenEndpoint::new(notice, source.model, prefill, source.claim)
 }
 
 impl CallExecution {
@@ -194,12 +196,13 @@
             return None;
         }
         let prefill_ms = state.prefill_ms(prompt.model_hash, prompt.total_tokens());
-        let queue_delay = state.pool_load(now, &service.name).queue_delay;
+        let [load] = state.model_loads(now, &service.name, [endpoint.model]);
         let outlook = RunOutlook {
             is_leaving: state.is_run_leaving(endpoint),
             rest,
             tokens: prompt.total_tokens() + progress.tokens_left(),
-            repeat_prefill: Duration::from_secs_f64(prefill_ms.max(0.0) / 1_000.0) + queue_delay,
+            repeat_prefill: Duration::from_secs_f64(prefill_ms.max(0.0) / 1_000.0)
+                + load.queue_delay,
             max_pause: self.call.target_gap(),
             loss_probability,
         };
--- a/crates/entry/src/forward/escalation.rs
+++ b/crates/entry/src/forward/escalation.rs
@@ -1,7 +1,6 @@
 //! Escalation of a call to a larger model. The smaller model's answer is held until the larger one
 //! has taken the call.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use chestnutloft_core::execution::AttemptEnd;
@@ -59,19 +58,19 @@
         if !self.context.state().segments.may_repeat(segments) {
             return None;
         }
-        let policy = self.escalation_policy();
-        let pool = self.context.state().pool_load(now, &self.call.service.name);
+        let next = self.largest_model(now)?;
+        let [pool] = self.model_loads(now, [next]);
+        let policy = self.escalation_policy([self.model_index, next]);
         let confidence = response.head.confidence;
-        let largest = self.call.route.models.len().saturating_sub(1);
         let candidate = EscalationCandidate {
-            model_index: self.model_index,
+            model_index: 0,
             confidence,
             tokens: self.tokens(),
             elapsed: now.since(self.call.received_at),
             target_latency: self.call.latency_target(),
-            expected_delay: self.expected_delay(largest, pool),
+            expected_delay: self.expected_delay(next, pool),
         };
-        let next = policy.next_model(&candidate, pool)?;
+        policy.next_model(&candidate, pool)?;
         if self.attempts >= self.call.route.max_attempts
             || !self
                 .context
@@ -92,22 +91,32 @@
         Some(next)
     }
 
-    /// Starts with the largest model if there is no time to ask the smallest one first.
+    /// Starts with the smallest model that endpoints run, or with the largest one if there is no time
+    /// to ask the smallest one first.
     pub(super) fn choose_first_model(&mut self, now: TimePoint) {
-        let models = self.call.route.models.len();
-        let is_model_free = self.call.head.model == RequestedModel::Any && models > 1;
-        if !is_model_free || !self.is_capacity_managed() {
+        if !self.has_model_choice() {
+            return;
+        }
+        let by_size = 0..self.call.route.models.len();
+        if let Some(smallest) = self.model_order(now, by_size).first() {
+            self.model_index = *smallest;
+        }
+        if !self.is_capacity_managed() {
             return;
         }
-        let policy = self.escalation_policy();
-        let pool = self.context.state().pool_load(now, &self.call.service.name);
+        let Some(largest) = self.largest_model(now) else {
+            return;
+        };
+        let steps = [self.model_index, largest];
+        let policy = self.escalation_policy(steps);
+        let [smallest_pool, largest_pool] = self.model_loads(now, steps);
         let delays = FirstDelays {
-            smallest: self.expected_delay(0, pool),
-            largest: self.expected_delay(models - 1, pool),
+            smallest: self.expected_delay(self.model_index, smallest_pool),
+            largest: self.expected_delay(largest, largest_pool),
             target_latency: self.call.latency_target(),
         };
-        self.model_index = policy.first_model(&delays, pool);
-        if self.model_index > 0 {
+        if policy.first_model(&delays, largest_pool) > 0 {
+            self.model_index = largest;
             spdlog::info!(
                 "call {}: starting with model index {}, since its answer is expected after {} ms and that of the smallest model after {} ms.",
                 self.call.head.id,
@@ -118,6 +127,22 @@
         }
     }
 
+    /// Largest model above the current one that endpoints run, as far as there is room.
+    fn largest_model(&self, now: TimePoint) -> Option<usize> {
+        let larger = self.model_index + 1..self.call.route.models.len();
+        if larger.is_empty() {
+            return None;
+        }
+        self.model_order(now, larger.rev()).first().copied()
+    }
+
+    /// Load of the endpoints that run each of the models.
+    fn model_loads<const N: usize>(&self, now: TimePoint, indexes: [usize; N]) -> [PoolLoad; N] {
+        let sent = |index| self.call.sent_model(self.model_at(index).as_deref());
+        let state = self.context.state();
+        state.model_loads(now, &self.call.service.name, indexes.map(sent))
+    }
+
     /// Expected time until the answer of the model begins; zero where capacity is not managed. The
     /// shared prefix counts as cached.
     fn expected_delay(&self, model_index: usize, pool: PoolLoad) -> Duration {
@@ -130,8 +155,10 @@
         pool.queue_delay + Duration::from_secs_f64(prefill_ms / 1_000.0)
     }
 
-    fn escalation_policy(&self) -> EscalationPolicy {
-        EscalationPolicy::new(self.escalation_settings(), self.model_costs())
+    /// Policy for a call that may go on from the first of two models to the second.
+    fn escalation_policy(&self, steps: [usize; 2]) -> EscalationPolicy {
+        let costs = steps.map(|index| self.model_cost(index)).to_vec();
+        EscalationPolicy::new(self.escalation_settings(), costs)
     }
 
     /// Settings by which the call is escalated.
@@ -149,14 +176,12 @@
         }
     }
 
-    /// Cost per 1,000 generated tokens of each of the route's models.
-    fn model_costs(&self) -> Vec<f64> {
-        let rules = &self.call.service.models;
-        let cost = |model: &Arc<str>| {
-            let rule = rules.iter().find(|rule| rule.name == *model);
-            rule.map_or(0.0, |rule| rule.cost)
-        };
-        self.call.route.models.iter().map(cost).collect()
+    /// Cost per 1,000 generated tokens of one of the route's models.
+    fn model_cost(&self, index: usize) -> f64 {
+        let model = self.call.route.models.get(index);
+        let mut rules = self.call.service.models.iter();
+        let rule = rules.find(|rule| Some(&rule.name) == model);
+        rule.map_or(0.0, |rule| rule.cost)
     }
 
     /// Size of the call.
--- a/crates/entry/src/forward/inbound.rs
+++ b/crates/entry/src/forward/inbound.rs
@@ -11,7 +11,7 @@
 use chestnutloft_core::execution::{ExecutionRecord, NotRunProof};
 use chestnutloft_core::hash::key_hash;
 use chestnutloft_core::routing::{
-    BodyDirection, KeyLookup, ModelHash, RouteRule, ServiceRule, ServiceShare, WorkspaceRule,
+    BodyDirection, KeyLookup, RouteRule, SentModel, ServiceRule, ServiceShare, WorkspaceRule,
 };
 use chestnutloft_core::time::TimePoint;
 use chestnutloft_wire::clock;
@@ -96,15 +96,13 @@
         u8::try_from(rank).unwrap_or(MAX_URGENCY).min(MAX_URGENCY)
     }
 
-    /// Hash of the model that the call is sent for: the one that the entry has chosen, or the caller.
-    /// Calls that name none are told apart by their route.
-    pub fn sent_model(&self, chosen: Option<&str>) -> ModelHash {
-        let model = match (chosen, &self.head.model) {
-            (Some(chosen), _) => chosen,
-            (None, RequestedModel::Named(name)) => name,
-            (None, _) => &self.route.name,
-        };
-        key_hash(model.as_bytes())
+    /// The model that the call is sent for: the one that the entry has chosen, or the caller.
+    pub fn sent_model(&self, chosen: Option<&str>) -> SentModel {
+        match (chosen, &self.head.model) {
+            (Some(chosen), _) => SentModel::named(chosen),
+            (None, RequestedModel::Named(name)) => SentModel::named(name),
+            (None, _) => SentModel::Unnamed(key_hash(self.route.name.as_bytes())),
+        }
     }
 
     /// Hash of the session name, or of the call id for a call without a session.
--- a/crates/entry/src/forward/mod.rs
+++ b/crates/entry/src/forward/mod.rs
@@ -25,6 +25,7 @@
 pub mod leader_search;
 mod load_exchange;
 pub mod metrics;
+pub mod model_choice;
 mod outcomes;
 mod pipeline;
 mod relay;
--- a/crates/entry/src/forward/outcomes.rs
+++ b/crates/entry/src/forward/outcomes.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use chestnutloft_core::routing::{
-    ArmCount, ArmKey, EndpointPhase, EndpointProcess, EntryDemand, LoadSummary, ModelHash,
-    QueueState, WaitingWork, WarmupCause, endpoint_hash,
+    ArmCount, ArmKey, EndpointPhase, EndpointProcess, EntryDemand, LoadSummary, QueueState,
+    WaitingWork, WarmupCause, endpoint_hash,
 };
 use chestnutloft_core::time::TimePoint;
 
@@ -250,11 +250,18 @@
         }
     }
 
-    /// Records that the endpoint's address rejected a call for `model` as meant for another endpoint.
-    /// It gets no calls for this model for some time, or until it announces that it has restarted.
-    pub fn record_misdirected(&mut self, now: TimePoint, id: &Arc<str>, model: ModelHash) {
-        if let Some(endpoint) = self.endpoints.get_mut(id) {
-            endpoint.misdirected.record(now, model);
+    /// Records that the endpoint's address rejected a call, sent at `sent_at`, as misdirected. It
+    /// gets no calls for the same model for some time, or until it announces that it runs the model
+    /// or has restarted.
+    pub fn record_misdirected(
+        &mut self,
+        now: TimePoint,
+        sent_at: TimePoint,
+        chosen: &ChosenEndpoint,
+    ) {
+        let is_same = |endpoint: &&mut EndpointState| endpoint.notice.born_ms == chosen.born_ms;
+        if let Some(endpoint) = self.endpoints.get_mut(&chosen.id).filter(is_same) {
+            endpoint.models.record_rejection(now, sent_at, chosen.model);
         }
     }
 
--- a/crates/entry/src/forward/pipeline.rs
+++ b/crates/entry/src/forward/pipeline.rs
@@ -7,7 +7,7 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 
-use chestnutloft_core::admission::{CapacityLimits, StreamAlternative};
+use chestnutloft_core::admission::StreamAlternative;
 use chestnutloft_core::execution::AttemptEnd;
 use chestnutloft_core::hash::key_hash;
 use chestnutloft_core::routing::{BodyDirection, CallKind, ModelLane, SegmentAdmission};
@@ -17,7 +17,7 @@
 
 use super::attempt::{AttemptFailure, AttemptGuard, EndpointResponse, send_attempt};
 use super::body_memory::BodyReadError;
-use super::choice::{ChosenEndpoint, NoEndpoint, PromptSize, SelectionRequest, prefix_hash};
+use super::choice::{ChosenEndpoint, PromptSize, prefix_hash};
 use super::codec::{CallRefusal, RequestedModel};
 use super::context::ForwardContext;
 use super::escalation::{HeldAnswer, send_beside_held};
@@ -106,6 +106,12 @@
     pub(super) held_answer: Option<HeldAnswer>,
     /// Index of the current model in the route's list, smallest first.
     pub model_index: usize,
+    /// Group of endpoints preferred for the current model.
+    pub lane: ModelLane,
+    /// Models that an endpoint has rejected without having announced which ones it runs.
+    pub(super) rejected_models: Vec<usize>,
+    /// Whether the caller has received a part of the current model's answer.
+    pub(super) is_model_fixed: bool,
     /// Reason of the last failed attempt; empty before the first failure.
     pub(super) failure: &'static str,
 }
@@ -150,6 +156,9 @@
             is_last_unsent: false,
             held_answer: None,
             model_index: 0,
+            lane: ModelLane::Any,
+            rejected_models: Vec::new(),
+            is_model_fixed: false,
             failure: "",
         }
     }
@@ -159,7 +168,7 @@
         self.model_at(self.model_index)
     }
 
-    fn model_at(&self, index: usize) -> Option<Arc<str>> {
+    pub(super) fn model_at(&self, index: usize) -> Option<Arc<str>> {
         match self.call.head.model {
             RequestedModel::Any => self.call.route.models.get(index).cloned(),
             _ => None,
@@ -224,45 +233,8 @@
         self.call.route.kind.is_stream() && response.parts.status.is_success()
     }
 
-    /// Chooses an endpoint and counts the attempt there.
-    pub(super) fn choose_now(
-        &self,
-        now: TimePoint,
-        limits: CapacityLimits,
-    ) -> Result<AttemptGuard, NoEndpoint> {
-        let request = SelectionRequest {
-            service: &self.call.service,
-            session: self.call.session_key(),
-            prompt: self.prompt(),
-            lane: self.lane(),
-            sent_model: self.call.sent_model(self.model().as_deref()),
-            tried: &self.tried,
-            output_tokens: self.expected_output_tokens(),
-            max_pause: self.call.target_gap(),
-            limits,
-        };
-        let mut state = self.context.state();
-        let endpoint = state.choose(now, &request)?;
-        let (context, call) = (&self.context, &self.call);
-        Ok(AttemptGuard::reserve(
-            context, &mut state, now, call, endpoint,
-        ))
-    }
-
-    /// Group of endpoints preferred for the current model. Calls are separated by model size only
-    /// where the entry chooses the model.
-    pub fn lane(&self) -> ModelLane {
-        let has_model_choice =
-            self.call.head.model == RequestedModel::Any && self.call.route.models.len() > 1;
-        match (has_model_choice, self.model_index) {
-            (false, _) => ModelLane::Any,
-            (true, 0) => ModelLane::Small,
-            (true, _) => ModelLane::Large,
-        }
-    }
-
     /// Tokens that the answer is expected to have: the caller's estimate, within its limit.
-    fn expected_output_tokens(&self) -> f64 {
+    pub(super) fn expected_output_tokens(&self) -> f64 {
         let head = &self.call.head;
         let limit = head.max_output_tokens.map_or(f64::INFINITY, f64::from);
         let expected = head.expected_output_tokens.or(head.max_output_tokens);
@@ -340,6 +312,12 @@
     /// Records the failure of an attempt and applies it to the call.
     fn fail_attempt(&mut self, endpoint: &ChosenEndpoint, failure: &AttemptFailure) {
         self.record_attempt_failure(endpoint, failure);
+        if let AttemptFailure::NotRun {
+            is_misdirected: true,
+        } = failure
+        {
+            self.record_rejected_model(endpoint);
+        }
         self.apply_failure(failure);
     }
 
--- a/crates/entry/src/forward/relay.rs
+++ b/crates/entry/src/forward/relay.rs
@@ -134,6 +134,7 @@
         let now = clock::now();
         let mut head = Response::new(());
         self.adopt_backup();
+        self.execution.is_model_fixed = true;
         if let Some(response) = &mut self.response {
             response.guard.finish_prefill();
             self.execution.record_success(now, response);
--- a/crates/entry/src/forward/relay/task.rs
+++ b/crates/entry/src/forward/relay/task.rs
@@ -105,7 +105,7 @@
     /// Records the time between events of a larger model's stream once per [`GAP_SAMPLE_EVENTS`]
     /// events.
     pub(super) fn record_event_gap(&mut self) {
-        if self.execution.lane() != ModelLane::Large {
+        if self.execution.lane != ModelLane::Large {
             return;
         }
         let now = clock::now();
--- a/crates/entry/src/forward/retries.rs
+++ b/crates/entry/src/forward/retries.rs
@@ -62,10 +62,14 @@
                 self.is_last_unsent = true;
                 self.failure = "no endpoint could be reached";
             }
-            AttemptFailure::NotRun { .. } => {
+            AttemptFailure::NotRun { is_misdirected } => {
                 self.attempts -= 1;
                 self.rejected_attempts += 1;
-                self.failure = "the endpoints are full";
+                self.failure = if *is_misdirected {
+                    "the endpoints reject the model or are others than expected"
+                } else {
+                    "the endpoints are full"
+                };
             }
             AttemptFailure::Broken(_) => {
                 self.failure = "the endpoint broke off";
--- a/crates/entry/src/forward/settings.rs
+++ b/crates/entry/src/forward/settings.rs
@@ -8,7 +8,7 @@
 
 use chestnutloft_core::admission::ClassReserve;
 use chestnutloft_core::routing::{
-    ClassLoadBounds, EscalationSettings, PlacementSettings, QueueDelaySettings,
+    ClassLoadBounds, EscalationSettings, ModelOrderSettings, PlacementSettings, QueueDelaySettings,
     TimedPlacementSettings,
 };
 use chestnutloft_wire::settings::SettingsFinding;
@@ -119,6 +119,8 @@
     pub pressure: QueueDelaySettings,
     /// When a call is escalated to a larger model.
     pub ladder: EscalationSettings,
+    /// In which order a call tries models that only some endpoints run.
+    pub model_order: ModelOrderSettings,
     /// How the capacity of endpoints is shared among callers.
     pub capacity: CapacitySettings,
     /// Names of the optional guarantees that the deployment asks for. Names that the entry does not
@@ -144,6 +146,7 @@
             placement: PlacementSettings::default(),
             pressure: QueueDelaySettings::default(),
             ladder: EscalationSettings::default(),
+            model_order: ModelOrderSettings::default(),
             capacity: CapacitySettings::default(),
             guarantees: Vec::new(),
         }
@@ -189,6 +192,11 @@
             "limits.key_withdrawal",
             "must be at least 1,000 ms",
         );
+        expect(
+            self.model_order.full_load > 0.0,
+            "model_order.full_load",
+            "must be above 0",
+        );
         self.capacity.check(&mut expect);
         findings
     }
--- a/crates/entry/src/forward/state.rs
+++ b/crates/entry/src/forward/state.rs
@@ -9,12 +9,12 @@
 use chestnutloft_core::routing::{
     ArmCount, ArmKey, CapacityLedger, EndpointHash, EndpointNotice, EndpointPhase, EndpointProcess,
     EndpointRateLimiter, EndpointRest, EntryDemand, EventGapReport, EventGapTracker,
-    HealthSettings, IdleGap, LeavingEndpoints, MisdirectedModels, PaceReadings, PlacementSettings,
-    PoolHealth, PrefillProfile, PrefillTimeEstimator, PrefixDirectory, QueueDelayEstimator,
-    ReceivedSums, RolloutStage, RolloutState, RoomShare, RouteDeclaration, RouteTable,
-    RoutingRevision, RoutingUpdate, SegmentAdmission, SegmentKnowledge, ServiceRetryBudget,
-    ServiceRetrySettings, SessionVersions, SlowStartControl, SpeedMeans, StatedLimits,
-    TerminationHistory, WarmupCause, endpoint_hash,
+    HealthSettings, IdleGap, LeavingEndpoints, ModelOrderSettings, ModelSupport, PaceReadings,
+    PlacementSettings, PoolHealth, PrefillProfile, PrefillTimeEstimator, PrefixDirectory,
+    QueueDelayEstimator, ReceivedSums, RolloutStage, RolloutState, RoomShare, RouteDeclaration,
+    RouteTable, RoutingRevision, RoutingUpdate, SegmentAdmission, SegmentKnowledge,
+    ServiceRetryBudget, ServiceRetrySettings, SessionVersions, SlowStartControl, SpeedMeans,
+    StatedLimits, TerminationHistory, WarmupCause, endpoint_hash,
 };
 use chestnutloft_core::time::TimePoint;
 
@@ -40,8 +40,8 @@
     pub(super) in_flight: usize,
     /// Latest load report of the endpoint.
     pub(super) report: Option<LoadReport>,
-    /// Calls that the address has rejected as meant for another endpoint.
-    pub(super) misdirected: MisdirectedModels,
+    /// Models that the endpoint announces, and calls that its address has rejected as misdirected.
+    pub(super) models: ModelSupport,
     /// The endpoint has said that it leaves.
     pub(super) is_leaving: bool,
     /// Time for which the endpoint has asked for no calls.
@@ -101,6 +101,7 @@
     /// Services whose endpoints have reported their pace.
     pub(super) paced_services: BTreeSet<Arc<str>>,
     pub(super) placement: PlacementSettings,
+    pub(super) model_order: ModelOrderSettings,
     pub(super) queue_delays: QueueDelayEstimator,
     pub(super) prefill_work: PrefillTimeEstimator,
     /// Time between events in streams of models larger than the smallest, at this entry.
@@ -171,6 +172,7 @@
             pace_news: PaceNews::default(),
             paced_services: BTreeSet::new(),
             placement: settings.placement.clone(),
+            model_order: settings.model_order.clone(),
             queue_delays: QueueDelayEstimator::new(settings.pressure.clone()),
             prefill_work: PrefillTimeEstimator::default(),
             large_model_event_gap: EventGapTracker::default(),
@@ -255,7 +257,7 @@
             let cause = self.warmup_cause(now, &change);
             let id = Arc::clone(&change.endpoint.notice.id);
             self.record_unannounced_end(now, &change.endpoint.notice);
-            self.apply_endpoint(change.endpoint.notice, cold_until);
+            self.apply_endpoint(now, change.endpoint.notice, cold_until);
             if let Some(cause) = cause {
                 self.begin_warmup(now, &id, cause, now);
             }
@@ -276,7 +278,7 @@
     /// Adds, updates or removes an endpoint. One that has deregistered is kept until its last
     /// attempt has ended; one with a new start time or address loses what was recorded about the
     /// previous process.
-    fn apply_endpoint(&mut self, notice: EndpointNotice, cold_until: TimePoint) {
+    fn apply_endpoint(&mut self, now: TimePoint, notice: EndpointNotice, cold_until: TimePoint) {
         let known = self.endpoints.get_mut(&notice.id);
         if notice.phase == EndpointPhase::Gone {
             if known.is_some_and(|known| known.in_flight == 0) {
@@ -299,20 +301,23 @@
                 self.health.forget(&notice.id);
                 self.prefixes.forget(endpoint_hash(&notice.id));
                 known.report = None;
-                known.misdirected = MisdirectedModels::default();
+                known.models = ModelSupport::default();
                 known.is_leaving = is_leaving;
                 known.rest = EndpointRest::default();
             }
+            known.models.announce(now, notice.models.as_deref());
             known.notice = notice;
             known.cold_until = cold_until;
         } else {
+            let mut models = ModelSupport::default();
+            models.announce(now, notice.models.as_deref());
             let endpoint = EndpointState {
                 hash: endpoint_hash(&notice.id),
                 notice,
                 cold_until,
                 in_flight: 0,
                 report: None,
-                misdirected: MisdirectedModels::default(),
+                models,
                 is_leaving,
                 rest: EndpointRest::default(),
             };
--- a/crates/entry/tests/admission/entry.rs
+++ b/crates/entry/tests/admission/entry.rs
@@ -184,6 +184,7 @@
                 slots: 2,
                 phase: EndpointPhase::Ready,
                 cold_left_ms: 0,
+                models: None,
             },
             changed_at: 1,
         },
--- a/crates/entry/tests/capacity_metrics.rs
+++ b/crates/entry/tests/capacity_metrics.rs
@@ -6,7 +6,7 @@
 use chestnutloft_core::routing::{
     CallerLimits, CapacityClaim, DeclarationUpdate, DirectoryChange, EndpointNotice, EndpointPhase,
     EndpointUsage, EngineRule, LoadSummary, PaceReading, PaceSource, PoolEndpoint, RoutingUpdate,
-    ServiceRule, endpoint_hash,
+    SentModel, ServiceRule, endpoint_hash,
 };
 use chestnutloft_core::time::TimePoint;
 use chestnutloft_entry::forward::choice::{ChosenEndpoint, PrefillEstimate};
@@ -31,6 +31,7 @@
         slots: 12,
         phase: EndpointPhase::Ready,
         cold_left_ms: 0,
+        models: None,
     }
 }
 
@@ -78,7 +79,12 @@
 }
 
 fn chosen(id: &str, claim: Option<CapacityClaim>) -> ChosenEndpoint {
-    ChosenEndpoint::new(&notice(id), PrefillEstimate::default(), claim)
+    ChosenEndpoint::new(
+        &notice(id),
+        SentModel::Unnamed(0),
+        PrefillEstimate::default(),
+        claim,
+    )
 }
 
 fn claim() -> CapacityClaim {
--- a/crates/entry/tests/slow_start.rs
+++ b/crates/entry/tests/slow_start.rs
@@ -7,8 +7,8 @@
 
 use chestnutloft_core::routing::{
     AnswerCount, CallerLimits, DeclarationUpdate, DirectoryChange, EndpointNotice, EndpointPhase,
-    EngineRule, LoadAggregator, LoadSummary, ModelLane, PoolEndpoint, RoutingUpdate, ServiceRule,
-    endpoint_hash,
+    EngineRule, LoadAggregator, LoadSummary, ModelLane, PoolEndpoint, RoutingUpdate, SentModel,
+    ServiceRule, endpoint_hash,
 };
 use chestnutloft_core::time::TimePoint;
 use chestnutloft_entry::forward::choice::{
@@ -50,6 +50,7 @@
         slots: 12,
         phase: EndpointPhase::Ready,
         cold_left_ms: 0,
+        models: None,
     };
     DirectoryChange {
         endpoint: PoolEndpoint {
@@ -116,7 +117,7 @@
         session,
         prompt: PromptSize::default(),
         lane: ModelLane::Any,
-        sent_model: 0,
+        sent_model: SentModel::Unnamed(0),
         tried: &tried,
         output_tokens: 0.0,
         max_pause: std::time::Duration::from_secs(2),
--- a/crates/entry/tests/state.rs
+++ b/crates/entry/tests/state.rs
@@ -8,7 +8,7 @@
 use chestnutloft_core::routing::{
     DeclarationUpdate, DirectoryChange, EndedEndpoint, EndpointNotice, EndpointPhase,
     EndpointProcess, LeavingStatement, LoadSummary, LostCall, ModelLane, PoolEndpoint,
-    RolloutOrder, RolloutStage, RolloutState, RoutingUpdate, ServiceRule, SessionHash,
+    RolloutOrder, RolloutStage, RolloutState, RoutingUpdate, SentModel, ServiceRule, SessionHash,
     session_hash,
 };
 use chestnutloft_core::time::TimePoint;
@@ -50,6 +50,7 @@
         slots: 64,
         phase: EndpointPhase::Ready,
         cold_left_ms,
+        models: None,
     };
     DirectoryChange {
         endpoint: PoolEndpoint {
@@ -117,7 +118,7 @@
         session,
         prompt: PromptSize::default(),
         lane: ModelLane::Any,
-        sent_model: 0,
+        sent_model: SentModel::Unnamed(0),
         tried: &tried,
         output_tokens: 0.0,
         max_pause: std::time::Duration::from_secs(2),
--- a/crates/keeper/tests/routing_coordinator.rs
+++ b/crates/keeper/tests/routing_coordinator.rs
@@ -229,6 +229,7 @@
         slots: 8,
         phase: EndpointPhase::Ready,
         cold_left_ms: 0,
+        models: None,
     }
 }
 
