--- a/crates/core/src/routing/table.rs
+++ b/crates/core/src/routing/table.rs
@@ -1,6 +1,6 @@
 //! Index of the declaration in force, for look-ups on the request path.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 
 use crate::admission::{ClassRank, PriorityClass, ServiceClasses};
@@ -28,6 +28,8 @@
     classes: HashMap<Arc<str>, ServiceClasses>,
     workspaces_by_key: HashMap<Arc<str>, Arc<WorkspaceRule>>,
     has_workspaces: bool,
+    /// Services, each with a model that a route to it lists.
+    listed_models: BTreeSet<(Arc<str>, Arc<str>)>,
 }
 
 impl RouteTable {
@@ -39,6 +41,13 @@
             ..Self::default()
         };
         for rule in &declaration.routes {
+            for share in &rule.shares {
+                let listed = rule
+                    .models
+                    .iter()
+                    .map(|model| (Arc::clone(&share.service), Arc::clone(model)));
+                table.listed_models.extend(listed);
+            }
             table
                 .hosts
                 .entry(Arc::clone(&rule.host))
@@ -74,6 +83,11 @@
         self.services.get(name)
     }
 
+    /// Services and the models that routes to them list.
+    pub fn listed_models(&self) -> impl Iterator<Item = &(Arc<str>, Arc<str>)> {
+        self.listed_models.iter()
+    }
+
     /// Rank of `class` among the classes of the calls of `service`.
     pub fn class_rank(&self, service: &str, class: PriorityClass) -> ClassRank {
         let classes = self.classes.get(service);
--- a/crates/entry/src/forward/metrics.rs
+++ b/crates/entry/src/forward/metrics.rs
@@ -52,6 +52,7 @@
     ejected: Gauge<u64>,
     in_flight: Gauge<u64>,
     waiting_work: Gauge<f64>,
+    unserved_models: Gauge<u64>,
     blocked_segments: Gauge<u64>,
     limited_endpoints: Gauge<u64>,
     leaving_endpoints: Gauge<u64>,
@@ -128,6 +129,8 @@
     pub pending_work_ms: f64,
     /// Number of blocked prompt segments.
     pub blocked_segments: usize,
+    /// Number of models that routes list and no endpoint of their service runs.
+    pub unserved_models: usize,
     /// Number of endpoints that have named a limit.
     pub limited_endpoints: usize,
     /// Endpoints that have said that they leave.
@@ -200,6 +203,10 @@
             ),
             in_flight: gauge("chestnutloft.in_flight", "Attempts under way"),
             waiting_work: seconds("chestnutloft.waiting_work", "Work sent and not begun"),
+            unserved_models: gauge(
+                "chestnutloft.models.unserved",
+                "Models that routes list and no endpoint of their service runs",
+            ),
             blocked_segments: gauge(
                 "chestnutloft.segments.blocked",
                 "Prompt segments that are blocked",
@@ -472,6 +479,8 @@
         self.in_flight.record(gauges.in_flight as u64, &[]);
         self.waiting_work
             .record(gauges.pending_work_ms / 1_000.0, &[]);
+        self.unserved_models
+            .record(gauges.unserved_models as u64, &[]);
         self.blocked_segments
             .record(gauges.blocked_segments as u64, &[]);
         self.limited_endpoints
@@ -522,6 +531,7 @@
                 .map(|item| f64::from(item.work_ms))
                 .sum(),
             blocked_segments: self.segments.blocked_count(),
+            unserved_models: self.unserved_models().count(),
             limited_endpoints: self.stated_limits.count(),
             leaving_endpoints: self.leaving_count(),
             warming_endpoints: self.slow_start.warming_count(),
--- a/crates/entry/src/forward/mod.rs
+++ b/crates/entry/src/forward/mod.rs
@@ -41,5 +41,6 @@
 mod sockets;
 pub mod state;
 mod stream_silence;
+mod unserved_models;
 mod watch;
 mod write_meter;
--- a/crates/entry/src/forward/state.rs
+++ b/crates/entry/src/forward/state.rs
@@ -20,6 +20,7 @@
 
 use super::capacity::PaceNews;
 use super::settings::{CapacitySettings, ForwardSettings, SharedLimits};
+use super::unserved_models::ServiceModel;
 
 /// Share of the key withdrawal time for which an entry accepts keys without a new confirmation by
 /// the keepers; the rest covers the time that an accepted call takes to reach its endpoint.
@@ -102,6 +103,8 @@
     pub(super) paced_services: BTreeSet<Arc<str>>,
     pub(super) placement: PlacementSettings,
     pub(super) model_order: ModelOrderSettings,
+    /// Models that routes list and no endpoint of their service announces.
+    pub(super) unserved_models: BTreeSet<ServiceModel>,
     pub(super) queue_delays: QueueDelayEstimator,
     pub(super) prefill_work: PrefillTimeEstimator,
     /// Time between events in streams of models larger than the smallest, at this entry.
@@ -173,6 +176,7 @@
             paced_services: BTreeSet::new(),
             placement: settings.placement.clone(),
             model_order: settings.model_order.clone(),
+            unserved_models: BTreeSet::new(),
             queue_delays: QueueDelayEstimator::new(settings.pressure.clone()),
             prefill_work: PrefillTimeEstimator::default(),
             large_model_event_gap: EventGapTracker::default(),
@@ -243,6 +247,9 @@
             return;
         }
         self.index = update.index;
+        let changes_models = update.declaration.is_some()
+            || update.evacuated.is_some()
+            || !update.endpoints.is_empty();
         if let Some(declaration) = update.declaration {
             Arc::unwrap_or_clone(declaration).apply(&mut self.declaration);
             self.table = Arc::new(RouteTable::new(&self.declaration));
@@ -272,6 +279,9 @@
             spdlog::info!("segments: blocked prompt segments are now {blocks:x?}.");
             self.segments.set_blocked(blocks);
         }
+        if changes_models {
+            self.refresh_unserved_models();
+        }
         self.confirmed_at = self.confirmed_at.max(Some(requested_at));
     }
 
--- a/crates/entry/tests/model_choice.rs
+++ b/crates/entry/tests/model_choice.rs
@@ -6,9 +6,9 @@
 
 use chestnutloft_core::admission::CapacityLimits;
 use chestnutloft_core::routing::{
-    CallerLimits, DeclarationUpdate, DirectoryChange, EndpointNotice, EndpointPhase, EngineRule,
-    ModelLane, PoolEndpoint, RolloutOrder, RolloutStage, RolloutState, RoutingUpdate, SentModel,
-    ServiceRule,
+    CallKind, CallerLimits, DeclarationUpdate, DirectoryChange, EndpointNotice, EndpointPhase,
+    EngineRule, ModelLane, PoolEndpoint, RolloutOrder, RolloutStage, RolloutState, RouteRule,
+    RoutingUpdate, SentModel, ServiceRule, ServiceShare,
 };
 use chestnutloft_core::time::TimePoint;
 use chestnutloft_entry::forward::choice::{
@@ -46,6 +46,26 @@
     }
 }
 
+fn route() -> RouteRule {
+    RouteRule {
+        name: Arc::from("assist"),
+        host: Arc::from("shop.example"),
+        prefix: Arc::from("/"),
+        shares: vec![ServiceShare {
+            service: Arc::from("llm"),
+            weight: 1,
+        }],
+        kind: CallKind::Stream { is_resumable: true },
+        timeout_ms: 5_000,
+        target_latency_ms: 1_000,
+        target_gap_ms: None,
+        priority: 0,
+        models: ["tiny", "small", "large"].map(Arc::from).to_vec(),
+        max_attempts: 3,
+        needs_key: false,
+    }
+}
+
 /// Endpoint `number`, which runs `version` and announces `models`.
 fn endpoint(number: u64, version: &str, models: Option<&[&str]>) -> DirectoryChange {
     let names = models.map(|names| names.iter().map(|name| Arc::from(*name)).collect());
@@ -99,7 +119,7 @@
         declaration: Some(Arc::new(DeclarationUpdate {
             number: 1,
             is_whole: true,
-            routes: Vec::new(),
+            routes: vec![route()],
             dropped: Vec::new(),
             services: Some(vec![service()]),
             workspaces: None,
@@ -261,3 +281,26 @@
 
     assert_eq!(order(&state, &BY_SIZE), [0]);
 }
+
+fn unserved(state: &EntryState) -> Vec<&str> {
+    state.unserved_models().map(|(_, model)| model).collect()
+}
+
+/// Guards against a route that lists a model which nobody runs without the operator seeing it.
+#[test]
+fn listed_models_that_no_endpoint_announces_are_reported() {
+    let mut partial = state(false, vec![endpoint(1, "v1", Some(&["small"]))], None);
+    let silent = state(false, vec![endpoint(1, "v1", None)], None);
+    assert_eq!(unserved(&partial), ["large", "tiny"]);
+    assert_eq!(partial.gauge_values(at(1)).unserved_models, 2);
+    assert_eq!(unserved(&silent), [""; 0]);
+
+    let update = RoutingUpdate {
+        index: 2,
+        endpoints: vec![endpoint(2, "v1", Some(&["tiny", "large"]))],
+        ..RoutingUpdate::default()
+    };
+    partial.apply(at(5), at(5), update);
+
+    assert_eq!(unserved(&partial), [""; 0]);
+}
