--- a/crates/core/src/routing/declaration.rs
+++ b/crates/core/src/routing/declaration.rs
@@ -143,6 +143,15 @@
     pub engine: Option<EngineRule>,
 }
 
+impl ServiceRule {
+    /// Whether an idle endpoint has memory for a prompt of `tokens` tokens.
+    pub fn can_hold(&self, tokens: f64) -> bool {
+        let engine = self.engine.as_ref();
+        let engine = engine.filter(|engine| engine.kv_tokens > 0);
+        engine.is_none_or(|engine| tokens <= engine.kv_tokens as f64)
+    }
+}
+
 /// A workspace and the API keys of its callers.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkspaceRule {
--- a/crates/entry/src/forward/admission.rs
+++ b/crates/entry/src/forward/admission.rs
@@ -13,7 +13,7 @@
 use super::admission_queues::QueuePlace;
 use super::attempt::AttemptGuard;
 use super::choice::{NoEndpoint, PromptSize};
-use super::codec::CallRefusal;
+use super::codec::{CallRefusal, UnservableCause};
 use super::metrics::AdmissionOutcome;
 use super::pipeline::{CallExecution, MIN_ATTEMPT_TIME};
 use super::state::EntryState;
@@ -111,6 +111,10 @@
     /// of an unmanaged service that holds an answer does not wait.
     pub async fn choose_endpoint(&mut self) -> Result<AttemptGuard, CallRefusal> {
         let started_at = clock::now();
+        if !self.call.service.can_hold(self.prompt().total_tokens()) {
+            let cause = UnservableCause::PromptTooLarge;
+            return Err(self.unservable_refusal(started_at, cause, Duration::ZERO));
+        }
         let is_managed = self.is_capacity_managed();
         self.context.refresh_load(started_at, is_managed).await;
         if is_managed {
@@ -133,7 +137,9 @@
             Err(no_endpoint @ NoEndpoint::AtRest { left }) => {
                 Err(self.refusal_for(now, no_endpoint.reason(), left))
             }
-            Err(NoEndpoint::NoModel { left }) => Err(self.no_model_refusal(now, left)),
+            Err(NoEndpoint::NoModel { left }) => {
+                Err(self.unservable_refusal(now, UnservableCause::NoModel, left))
+            }
             outcome => Ok(outcome),
         }
     }
--- a/crates/entry/src/forward/choice.rs
+++ b/crates/entry/src/forward/choice.rs
@@ -14,6 +14,7 @@
 use chestnutloft_core::time::TimePoint;
 use chestnutloft_wire::message::RolloutAge;
 
+use super::codec::UnservableCause;
 use super::state::{EndpointState, EntryState};
 
 /// Share of a service's connection limit that all entries together use.
@@ -201,7 +202,7 @@
             Self::ConnectionsInUse => "all connections are in use",
             Self::Full => "the places of all endpoints are taken",
             Self::AtRest { .. } => "the endpoints have asked for no calls",
-            Self::NoModel { .. } => "no endpoint runs a model that the call may take",
+            Self::NoModel { .. } => UnservableCause::NoModel.reason(),
         }
     }
 }
--- a/crates/entry/src/forward/codec.rs
+++ b/crates/entry/src/forward/codec.rs
@@ -180,6 +180,33 @@
     pub persistence: ConnectionPersistence,
 }
 
+/// Why no endpoint of a service can take a call, however busy they are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UnservableCause {
+    /// None runs a model that the call may take.
+    NoModel,
+    /// The prompt is larger than the memory that the service declares for its endpoints.
+    PromptTooLarge,
+}
+
+impl UnservableCause {
+    /// The metric label.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::NoModel => "no_model",
+            Self::PromptTooLarge => "prompt_too_large",
+        }
+    }
+
+    /// The reason that a refusal states.
+    pub fn reason(self) -> &'static str {
+        match self {
+            Self::NoModel => "no endpoint runs a model that the call may take",
+            Self::PromptTooLarge => "the prompt does not fit into the memory of an endpoint",
+        }
+    }
+}
+
 /// Why the entry refuses a call instead of returning an endpoint's response.
 #[derive(Clone, Debug, PartialEq)]
 pub enum CallRefusal {
@@ -204,10 +231,12 @@
         /// Delay after which to retry.
         retry_after: Duration,
     },
-    /// No endpoint runs a model that the call may take. The call has not run; the caller may retry.
-    NoModel {
+    /// No endpoint can take the call. It has not run; the caller may retry.
+    Unservable {
         /// Why this is certain.
         proof: NotRunProof,
+        /// What endpoints lack.
+        cause: UnservableCause,
         /// Delay after which to retry.
         retry_after: Duration,
     },
@@ -228,7 +257,7 @@
             Self::BodyTooLarge => "body_too_large",
             Self::PromptBlocked => "prompt_blocked",
             Self::NotRun { .. } => "not_run",
-            Self::NoModel { .. } => "no_model",
+            Self::Unservable { cause, .. } => cause.label(),
             Self::TimedOut => "timed_out",
             Self::Failed(_) => "failed",
         }
@@ -253,9 +282,12 @@
                 "not run: {reason}; come back in {} ms",
                 retry_after.as_millis()
             ),
-            Self::NoModel { retry_after, .. } => write!(
+            Self::Unservable {
+                cause, retry_after, ..
+            } => write!(
                 f,
-                "not run: no endpoint runs a model that the call may take; come back in {} ms",
+                "not run: {}; come back in {} ms",
+                cause.reason(),
                 retry_after.as_millis()
             ),
             Self::TimedOut => write!(f, "timed out"),
--- a/crates/entry/src/forward/completion.rs
+++ b/crates/entry/src/forward/completion.rs
@@ -10,8 +10,7 @@
 use chestnutloft_wire::http::AnyBody;
 
 use super::attempt::EndpointResponse;
-use super::choice::NoEndpoint;
-use super::codec::CallRefusal;
+use super::codec::{CallRefusal, UnservableCause};
 use super::pipeline::{CallExecution, MIN_ATTEMPT_TIME};
 
 /// Lower bound of the retry-after time before jitter.
@@ -87,13 +86,21 @@
         }
     }
 
-    /// The refusal of a call whose models no endpoint runs, for `min_delay` at least.
-    pub(super) fn no_model_refusal(&self, now: TimePoint, min_delay: Duration) -> CallRefusal {
-        let reason = NoEndpoint::NoModel { left: min_delay }.reason();
-        match self.refusal_for(now, reason, min_delay) {
+    /// The refusal of a call that no endpoint can take, for `min_delay` at least.
+    pub(super) fn unservable_refusal(
+        &self,
+        now: TimePoint,
+        cause: UnservableCause,
+        min_delay: Duration,
+    ) -> CallRefusal {
+        match self.refusal_for(now, cause.reason(), min_delay) {
             CallRefusal::NotRun {
                 proof, retry_after, ..
-            } => CallRefusal::NoModel { proof, retry_after },
+            } => CallRefusal::Unservable {
+                proof,
+                cause,
+                retry_after,
+            },
             refusal => refusal,
         }
     }
