--- a/crates/core/src/routing/misdirection.rs
+++ b/crates/core/src/routing/misdirection.rs
@@ -25,8 +25,9 @@
 }
 
 impl MisdirectedModels {
-    /// Records that a call for `model` was rejected as misdirected.
-    pub fn record(&mut self, now: TimePoint, model: ModelHash) {
+    /// Records that a call for `model` was rejected as misdirected. Returns when the rejection is
+    /// forgotten.
+    pub fn record(&mut self, now: TimePoint, model: ModelHash) -> TimePoint {
         self.until.retain(|_, until| now < *until);
         let is_full = self.until.len() >= MAX_MODELS && !self.until.contains_key(&model);
         let oldest = self.until.iter().min_by_key(|(_, until)| **until);
@@ -35,7 +36,9 @@
         {
             self.until.remove(&oldest);
         }
-        self.until.insert(model, now + REJECTION_TTL);
+        let until = now + REJECTION_TTL;
+        self.until.insert(model, until);
+        until
     }
 
     /// Removes the rejections of `model`.
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -84,7 +84,7 @@
 pub use leaving_endpoints::{EndpointProcess, LeavingEndpoints, LeavingStatement};
 pub use load_aggregation::{EndpointHash, LoadAggregator, LoadSummary, WaitingWork, endpoint_hash};
 pub use misdirection::{MisdirectedModels, ModelHash};
-pub use model_order::{HostLoad, ModelOrderSettings, order_models};
+pub use model_order::{HostLoad, ModelOrderSettings, ModelStep, order_models};
 pub use model_support::{ModelSupport, SentModel};
 pub use placement::{
     EndpointCandidate, ModelLane, PlacementRequest, PlacementSettings, SelectedEndpoint,
--- a/crates/core/src/routing/model_order.rs
+++ b/crates/core/src/routing/model_order.rs
@@ -30,7 +30,26 @@
     pub slots: f64,
 }
 
-/// Models to try, by their indexes in `preference`: each that an endpoint runs which runs no model
+/// A model to try, at the endpoints that run it and none of the models in `passed`.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ModelStep {
+    /// Index of the model.
+    pub index: usize,
+    /// Indexes of the models that the call prefers and that endpoints run.
+    pub passed: Vec<usize>,
+}
+
+impl ModelStep {
+    /// The model with `index`, at all endpoints that run it.
+    pub fn of(index: usize) -> Self {
+        Self {
+            index,
+            passed: Vec::new(),
+        }
+    }
+}
+
+/// Models to try, from the indexes in `preference`: each that an endpoint runs which runs no model
 /// before it. Those whose endpoints are full come last. `runs` tells whether an endpoint runs the
 /// model with an index.
 pub fn order_models<H>(
@@ -39,22 +58,23 @@
     hosts: &[H],
     runs: impl Fn(&H, usize) -> bool,
     load: impl Fn(&H) -> HostLoad,
-) -> Vec<usize> {
-    let first = preference.first();
-    if let Some(first) = first
-        && hosts.iter().all(|host| runs(host, *first))
-    {
-        return vec![*first];
-    }
+) -> Vec<ModelStep> {
     let mut rest: Vec<&H> = hosts.iter().collect();
-    let mut order = Vec::new();
+    let mut steps = Vec::new();
+    let mut passed = Vec::new();
     for index in preference {
         let (running, others): (Vec<&H>, Vec<&H>) =
             rest.into_iter().partition(|host| runs(host, *index));
         rest = others;
-        if !running.is_empty() {
-            order.push((*index, running));
+        if running.is_empty() {
+            continue;
         }
+        let step = ModelStep {
+            index: *index,
+            passed: passed.clone(),
+        };
+        steps.push((step, running));
+        passed.push(*index);
     }
     let is_full = |running: &[&H]| {
         let loads = running.iter().map(|host| load(host));
@@ -64,8 +84,8 @@
         });
         total.calls >= total.slots * settings.full_load
     };
-    if order.len() > 1 {
-        order.sort_by_cached_key(|(_, running)| is_full(running));
+    if steps.len() > 1 {
+        steps.sort_by_cached_key(|(_, running)| is_full(running));
     }
-    order.into_iter().map(|(index, _)| index).collect()
+    steps.into_iter().map(|(step, _)| step).collect()
 }
--- a/crates/core/src/routing/model_support.rs
+++ b/crates/core/src/routing/model_support.rs
@@ -60,18 +60,25 @@
     }
 
     /// Records that a call for `model`, sent at `sent_at`, was rejected as misdirected. A call that
-    /// was sent before the endpoint was seen to announce the model says nothing about it.
-    pub fn record_rejection(&mut self, now: TimePoint, sent_at: TimePoint, model: SentModel) {
+    /// was sent before the endpoint was seen to announce the model says nothing about it. Returns
+    /// when the rejection is forgotten.
+    pub fn record_rejection(
+        &mut self,
+        now: TimePoint,
+        sent_at: TimePoint,
+        model: SentModel,
+    ) -> Option<TimePoint> {
         let is_outdated = self.changed_at.is_some_and(|at| sent_at < at);
-        if !(is_outdated && self.announces(model.hash())) {
-            self.rejected.record(now, model.hash());
+        if is_outdated && self.announces(model.hash()) {
+            return None;
         }
+        Some(self.rejected.record(now, model.hash()))
     }
 
     /// Whether calls for `model` may be sent to the endpoint.
     pub fn accepts(&self, now: TimePoint, model: SentModel) -> bool {
         let is_run = match model {
-            SentModel::Named(hash) => self.announced.is_none() || self.announces(hash),
+            SentModel::Named(hash) => self.may_run(hash),
             SentModel::Unnamed(_) => true,
         };
         is_run && self.rejected.accepts(now, model.hash())
@@ -80,7 +87,7 @@
     /// Time until the endpoint may be sent calls for `model` again which it would take but for a
     /// rejection. `None` if it takes them now, or does not announce the model.
     pub fn rejection_left(&self, now: TimePoint, model: SentModel) -> Option<Duration> {
-        let is_run = self.announced.is_none() || self.announces(model.hash());
+        let is_run = self.may_run(model.hash());
         let left = self.rejected.left(now, model.hash());
         left.filter(|_| is_run)
     }
@@ -90,8 +97,13 @@
         self.rejected.accepts_all(now)
     }
 
+    /// Whether the endpoint's announcement allows it to run `model`.
+    pub fn may_run(&self, model: ModelHash) -> bool {
+        self.announced.is_none() || self.announces(model)
+    }
+
     /// Whether the endpoint's announcement names `model`.
-    pub fn announces(&self, model: ModelHash) -> bool {
+    fn announces(&self, model: ModelHash) -> bool {
         let announced = self.announced.as_deref().unwrap_or_default();
         announced.contains(&model)
     }
--- a/crates/core/tests/routing/model_order.rs
+++ b/crates/core/tests/routing/model_order.rs
@@ -1,6 +1,6 @@
 //! In which order the models of a route are tried that some endpoints run.
 
-use chestnutloft_core::routing::{HostLoad, ModelOrderSettings, order_models};
+use chestnutloft_core::routing::{HostLoad, ModelOrderSettings, ModelStep, order_models};
 
 /// Models of an endpoint by their indexes, and its load on ten slots.
 type Host = (&'static [usize], f64);
@@ -8,6 +8,11 @@
 const BY_SIZE: [usize; 3] = [0, 1, 2];
 
 fn order(preference: &[usize], hosts: &[Host]) -> Vec<usize> {
+    let steps = steps(preference, hosts).into_iter();
+    steps.map(|step| step.index).collect()
+}
+
+fn steps(preference: &[usize], hosts: &[Host]) -> Vec<ModelStep> {
     let runs = |host: &Host, index: usize| host.0.contains(&index);
     let load = |host: &Host| HostLoad {
         calls: host.1,
@@ -59,3 +64,18 @@
 
     assert_eq!(order(&BY_SIZE, &hosts), [0, 1]);
 }
+
+/// Guards against calls that take a larger model at endpoints that run the smaller one, because
+/// another endpoint that does not is idle.
+#[test]
+fn further_models_are_tried_only_where_no_preferred_one_is_run() {
+    let hosts: [Host; 3] = [(&[0, 1], 9.0), (&[0, 1], 9.0), (&[1], 0.0)];
+
+    let steps = steps(&BY_SIZE, &hosts);
+
+    let passed: Vec<_> = steps
+        .iter()
+        .map(|step| (step.index, &*step.passed))
+        .collect();
+    assert_eq!(passed, [(1, &[0][..]), (0, &[][..])]);
+}
--- a/crates/entry/src/forward/choice.rs
+++ b/crates/entry/src/forward/choice.rs
@@ -43,6 +43,8 @@
     pub lane: ModelLane,
     /// Model that the call is sent for.
     pub sent_model: SentModel,
+    /// Models that the call prefers: endpoints that run one of them are left out.
+    pub passed_models: &'a [SentModel],
     /// Endpoints that the call has already been sent to.
     pub tried: &'a BTreeSet<Arc<str>>,
     /// Tokens that the answer is expected to have.
@@ -250,7 +252,11 @@
     ) -> Result<ChosenEndpoint, NoEndpoint> {
         self.sweep_warmups(now);
         let mut outcome = None;
-        let runs = |endpoint: &EndpointState| endpoint.models.accepts(now, request.sent_model);
+        let runs = |endpoint: &EndpointState| {
+            let mut passed = request.passed_models.iter();
+            endpoint.models.accepts(now, request.sent_model)
+                && !passed.any(|model| endpoint.models.accepts(now, *model))
+        };
         for group in self.version_groups(now, request.service, request.session, runs) {
             if group.is_empty() {
                 continue;
--- a/crates/entry/src/forward/escalation.rs
+++ b/crates/entry/src/forward/escalation.rs
@@ -98,8 +98,8 @@
             return;
         }
         let by_size = 0..self.call.route.models.len();
-        if let Some(smallest) = self.model_order(now, by_size).first() {
-            self.model_index = *smallest;
+        if let Some(smallest) = self.first_model(now, by_size) {
+            self.model_index = smallest;
         }
         if !self.is_capacity_managed() {
             return;
@@ -133,7 +133,7 @@
         if larger.is_empty() {
             return None;
         }
-        self.model_order(now, larger.rev()).first().copied()
+        self.first_model(now, larger.rev())
     }
 
     /// Load of the endpoints that run each of the models.
--- a/crates/entry/src/forward/model_choice.rs
+++ b/crates/entry/src/forward/model_choice.rs
@@ -4,7 +4,7 @@
 
 use chestnutloft_core::admission::CapacityLimits;
 use chestnutloft_core::routing::{
-    HostLoad, ModelLane, PoolLoad, SentModel, ServiceRule, order_models,
+    HostLoad, ModelLane, ModelStep, PoolLoad, SentModel, ServiceRule, order_models,
 };
 use chestnutloft_core::time::TimePoint;
 
@@ -35,24 +35,25 @@
 }
 
 impl EntryState {
-    /// Indexes of the models that a call tries, if it prefers them in the order of `preference`. Empty
-    /// if no endpoint that the call may go to runs one of them.
+    /// Models that a call tries, if it prefers them in the order of `preference`. Empty if no endpoint
+    /// that the call may go to runs one of them.
     pub fn model_order(
         &self,
         now: TimePoint,
         request: &ModelRequest<'_>,
         preference: &[usize],
-    ) -> Vec<usize> {
+    ) -> Vec<ModelStep> {
         let service = request.service;
         let runs = |endpoint: &EndpointState, index: usize| {
             let model = request.models.get(index);
             model.is_some_and(|model| endpoint.models.accepts(now, *model))
         };
-        let mut available = self.available_endpoints(&service.name);
-        if let Some(first) = preference.first()
-            && available.all(|endpoint| runs(endpoint, *first))
-        {
-            return vec![*first];
+        if self.has_even_models(now, &service.name) {
+            let first = preference.first();
+            return first
+                .map(|index| ModelStep::of(*index))
+                .into_iter()
+                .collect();
         }
         let is_managed = self.is_capacity_managed(&service.name);
         let load = |endpoint: &&EndpointState| HostLoad {
@@ -73,8 +74,6 @@
                 |host, index| runs(host, index),
                 load,
             );
-            let is_new = |index: &usize| !order.contains(index);
-            let models: Vec<usize> = models.into_iter().filter(is_new).collect();
             order.extend(models);
         }
         order
@@ -152,16 +151,17 @@
         names.map(|name| SentModel::named(name)).collect()
     }
 
-    /// Models that endpoints run, in the order of `preference` as far as there is room.
-    pub(super) fn model_order(
+    /// First model in the order of `preference` that endpoints run, as far as there is room.
+    pub(super) fn first_model(
         &self,
         now: TimePoint,
         preference: impl IntoIterator<Item = usize>,
-    ) -> Vec<usize> {
+    ) -> Option<usize> {
         let models = self.models();
         let preference: Vec<usize> = preference.into_iter().collect();
         let state = self.context.state();
-        state.model_order(now, &self.model_request(&models), &preference)
+        let order = state.model_order(now, &self.model_request(&models), &preference);
+        order.first().map(|step| step.index)
     }
 
     fn model_request<'a>(&'a self, models: &'a [SentModel]) -> ModelRequest<'a> {
@@ -198,12 +198,18 @@
         let model_request = self.model_request(&models);
         let mut order = state.model_order(now, &model_request, &preference);
         if order.is_empty() {
-            order.push(self.model_index);
+            order.push(ModelStep::of(self.model_index));
         }
         let mut problem = None;
-        for index in order {
+        for step in order {
+            let index = step.index;
             let lane = self.lane_of(now, &state, &model_request, index);
-            let request = self.selection_request(index, lane, limits);
+            let passed = step.passed.iter();
+            let passed: Vec<SentModel> = passed
+                .filter_map(|index| models.get(*index))
+                .copied()
+                .collect();
+            let request = self.selection_request(index, &passed, lane, limits);
             match state.choose(now, &request) {
                 Ok(endpoint) => {
                     let guard =
@@ -235,25 +241,27 @@
         }
         let by_size: Vec<usize> = (0..request.models.len()).collect();
         let first_models = state.model_order(now, request, &by_size);
-        if first_models.contains(&index) {
+        if first_models.iter().any(|step| step.index == index) {
             ModelLane::Small
         } else {
             ModelLane::Large
         }
     }
 
-    fn selection_request(
-        &self,
+    fn selection_request<'a>(
+        &'a self,
         model_index: usize,
+        passed_models: &'a [SentModel],
         lane: ModelLane,
         limits: CapacityLimits,
-    ) -> SelectionRequest<'_> {
+    ) -> SelectionRequest<'a> {
         SelectionRequest {
             service: &self.call.service,
             session: self.call.session_key(),
             prompt: self.prompt_for(model_index),
             lane,
             sent_model: self.call.sent_model(self.model_at(model_index).as_deref()),
+            passed_models,
             tried: &self.tried,
             output_tokens: self.expected_output_tokens(),
             max_pause: self.call.target_gap(),
--- a/crates/entry/src/forward/outcomes.rs
+++ b/crates/entry/src/forward/outcomes.rs
@@ -261,7 +261,8 @@
     ) {
         let is_same = |endpoint: &&mut EndpointState| endpoint.notice.born_ms == chosen.born_ms;
         if let Some(endpoint) = self.endpoints.get_mut(&chosen.id).filter(is_same) {
-            endpoint.models.record_rejection(now, sent_at, chosen.model);
+            let until = endpoint.models.record_rejection(now, sent_at, chosen.model);
+            self.rejections_until = self.rejections_until.max(until);
         }
     }
 
--- a/crates/entry/src/forward/state.rs
+++ b/crates/entry/src/forward/state.rs
@@ -105,6 +105,10 @@
     pub(super) model_order: ModelOrderSettings,
     /// Models that routes list and no endpoint of their service announces.
     pub(super) unserved_models: BTreeSet<ServiceModel>,
+    /// Services with endpoints that announce only some of the models that routes list.
+    pub(super) partial_services: BTreeSet<Arc<str>>,
+    /// Until when an endpoint may be known to have rejected a model.
+    pub(super) rejections_until: Option<TimePoint>,
     pub(super) queue_delays: QueueDelayEstimator,
     pub(super) prefill_work: PrefillTimeEstimator,
     /// Time between events in streams of models larger than the smallest, at this entry.
@@ -177,6 +181,8 @@
             placement: settings.placement.clone(),
             model_order: settings.model_order.clone(),
             unserved_models: BTreeSet::new(),
+            partial_services: BTreeSet::new(),
+            rejections_until: None,
             queue_delays: QueueDelayEstimator::new(settings.pressure.clone()),
             prefill_work: PrefillTimeEstimator::default(),
             large_model_event_gap: EventGapTracker::default(),
@@ -280,7 +286,7 @@
             self.segments.set_blocked(blocks);
         }
         if changes_models {
-            self.refresh_unserved_models();
+            self.refresh_models();
         }
         self.confirmed_at = self.confirmed_at.max(Some(requested_at));
     }
--- a/crates/entry/tests/model_choice.rs
+++ b/crates/entry/tests/model_choice.rs
@@ -7,8 +7,8 @@
 use chestnutloft_core::admission::CapacityLimits;
 use chestnutloft_core::routing::{
     CallKind, CallerLimits, DeclarationUpdate, DirectoryChange, EndpointNotice, EndpointPhase,
-    EngineRule, ModelLane, PoolEndpoint, RolloutOrder, RolloutStage, RolloutState, RouteRule,
-    RoutingUpdate, SentModel, ServiceRule, ServiceShare,
+    EngineRule, ModelLane, ModelStep, PoolEndpoint, RolloutOrder, RolloutStage, RolloutState,
+    RouteRule, RoutingUpdate, SentModel, ServiceRule, ServiceShare,
 };
 use chestnutloft_core::time::TimePoint;
 use chestnutloft_entry::forward::choice::{
@@ -141,6 +141,11 @@
 }
 
 fn order(state: &EntryState, preference: &[usize]) -> Vec<usize> {
+    let steps = steps(state, preference).into_iter();
+    steps.map(|step| step.index).collect()
+}
+
+fn steps(state: &EntryState, preference: &[usize]) -> Vec<ModelStep> {
     let (service, models) = (service(), models());
     let request = ModelRequest {
         service: &service,
@@ -151,13 +156,19 @@
 }
 
 fn choose(state: &mut EntryState, index: usize) -> Result<ChosenEndpoint, NoEndpoint> {
+    choose_step(state, &ModelStep::of(index))
+}
+
+fn choose_step(state: &mut EntryState, step: &ModelStep) -> Result<ChosenEndpoint, NoEndpoint> {
     let (service, tried) = (service(), BTreeSet::new());
+    let passed: Vec<SentModel> = step.passed.iter().map(|index| models()[*index]).collect();
     let request = SelectionRequest {
         service: &service,
         session: SESSION,
         prompt: PromptSize::default(),
         lane: ModelLane::Small,
-        sent_model: models()[index],
+        sent_model: models()[step.index],
+        passed_models: &passed,
         tried: &tried,
         output_tokens: 10.0,
         max_pause: std::time::Duration::from_secs(1),
@@ -168,11 +179,11 @@
 
 /// Starts a call that prefers the smallest model; returns its model and its endpoint.
 fn start_call(state: &mut EntryState) -> Option<(usize, Arc<str>)> {
-    for index in order(state, &BY_SIZE) {
-        if let Ok(endpoint) = choose(state, index) {
+    for step in steps(state, &BY_SIZE) {
+        if let Ok(endpoint) = choose_step(state, &step) {
             state.start_attempt(at(10), &endpoint.id, 0.0);
             state.claim_capacity(at(10), &endpoint);
-            return Some((index, endpoint.id));
+            return Some((step.index, endpoint.id));
         }
     }
     None
@@ -304,3 +315,21 @@
 
     assert_eq!(unserved(&partial), [""; 0]);
 }
+
+/// Guards against all calls taking a larger model because one endpoint of a busy pool has rejected
+/// the smallest one, for example since its address was taken.
+#[test]
+fn rejection_by_one_endpoint_leaves_the_others_at_the_smallest_model() {
+    let all: &[&str] = &["tiny", "small", "large"];
+    let endpoints = (0..9).map(|number| endpoint(number, "v1", Some(all)));
+    let mut state = state(true, endpoints.collect(), None);
+    let rejecting = choose(&mut state, 0).expect("an endpoint");
+    state.record_misdirected(at(9), at(8), &rejecting);
+
+    let calls: Vec<_> = (0..85).filter_map(|_| start_call(&mut state)).collect();
+
+    let elsewhere = calls.iter().filter(|(_, id)| *id != rejecting.id);
+    let models: Vec<usize> = elsewhere.map(|(index, _)| *index).collect();
+    assert!(models.len() > 60, "{}", models.len());
+    assert!(models.iter().all(|index| *index == 0), "{models:?}");
+}
--- a/crates/entry/tests/state.rs
+++ b/crates/entry/tests/state.rs
@@ -119,6 +119,7 @@
         prompt: PromptSize::default(),
         lane: ModelLane::Any,
         sent_model: SentModel::Unnamed(0),
+        passed_models: &[],
         tried: &tried,
         output_tokens: 0.0,
         max_pause: std::time::Duration::from_secs(2),
