--- a/crates/entry/src/forward/escalation.rs
+++ b/crates/entry/src/forward/escalation.rs
@@ -5,7 +5,8 @@
 
 use chestnutloft_core::execution::AttemptEnd;
 use chestnutloft_core::routing::{
-    CallTokens, EscalationCandidate, EscalationPolicy, EscalationSettings, FirstDelays, PoolLoad,
+    CallTokens, EscalationCandidate, EscalationPolicy, EscalationSettings, FirstDelays, ModelLane,
+    PoolLoad,
 };
 use chestnutloft_core::time::TimePoint;
 use chestnutloft_wire::clock;
@@ -26,6 +27,7 @@
     response: EndpointResponse,
     /// Index of the model that gave it.
     model_index: usize,
+    lane: ModelLane,
     expires_at: TimePoint,
 }
 
@@ -98,7 +100,7 @@
             return;
         }
         let by_size = 0..self.call.route.models.len();
-        if let Some(smallest) = self.first_model(now, by_size) {
+        if let Some(smallest) = self.model_order(now, by_size).into_iter().min() {
             self.model_index = smallest;
         }
         if !self.is_capacity_managed() {
@@ -133,7 +135,7 @@
         if larger.is_empty() {
             return None;
         }
-        self.first_model(now, larger.rev())
+        self.model_order(now, larger.rev()).first().copied()
     }
 
     /// Load of the endpoints that run each of the models.
@@ -200,6 +202,7 @@
         self.held_answer = Some(HeldAnswer {
             response,
             model_index: self.model_index,
+            lane: self.lane,
             expires_at: now + HOLD_TIME,
         });
         self.model_index = next;
@@ -225,6 +228,7 @@
         );
         self.context.metrics.record_kept_answer(&self.call);
         self.model_index = held.model_index;
+        self.lane = held.lane;
         Some(held.response)
     }
 }
--- a/crates/entry/src/forward/model_choice.rs
+++ b/crates/entry/src/forward/model_choice.rs
@@ -151,17 +151,17 @@
         names.map(|name| SentModel::named(name)).collect()
     }
 
-    /// First model in the order of `preference` that endpoints run, as far as there is room.
-    pub(super) fn first_model(
+    /// Models that endpoints run, in the order of `preference` as far as there is room.
+    pub(super) fn model_order(
         &self,
         now: TimePoint,
         preference: impl IntoIterator<Item = usize>,
-    ) -> Option<usize> {
+    ) -> Vec<usize> {
         let models = self.models();
         let preference: Vec<usize> = preference.into_iter().collect();
         let state = self.context.state();
         let order = state.model_order(now, &self.model_request(&models), &preference);
-        order.first().map(|step| step.index)
+        order.into_iter().map(|step| step.index).collect()
     }
 
     fn model_request<'a>(&'a self, models: &'a [SentModel]) -> ModelRequest<'a> {
