--- a/crates/entry/src/forward/model_choice.rs
+++ b/crates/entry/src/forward/model_choice.rs
@@ -48,7 +48,7 @@
             let model = request.models.get(index);
             model.is_some_and(|model| endpoint.models.accepts(now, *model))
         };
-        if self.has_even_models(now, &service.name) {
+        if self.has_uniform_models(now, &service.name) {
             let first = preference.first();
             return first
                 .map(|index| ModelStep::of(*index))
@@ -66,15 +66,9 @@
         };
         let mut order = Vec::new();
         for group in self.version_groups(now, service, request.session, runs_any) {
-            let settings = &self.model_order;
-            let models = order_models(
-                settings,
-                preference,
-                &group,
-                |host, index| runs(host, index),
-                load,
-            );
-            order.extend(models);
+            let settings = &self.model_order_settings;
+            let runs = |host: &&EndpointState, index: usize| runs(host, index);
+            order.extend(order_models(settings, preference, &group, runs, load));
         }
         order
     }
@@ -109,8 +103,7 @@
         })
     }
 
-    /// Why a call that no endpoint may be sent got none: there is no endpoint, or none that runs the
-    /// model.
+    /// Why there is no endpoint to choose from for a call: none is ready, or none that is runs the model.
     pub(super) fn unavailability(
         &self,
         now: TimePoint,
--- a/crates/entry/src/forward/unserved_models.rs
+++ b/crates/entry/src/forward/model_coverage.rs
@@ -44,7 +44,7 @@
 
     /// Whether all endpoints of `service` take calls for all models that its routes list, as far as
     /// this entry knows.
-    pub(super) fn has_even_models(&self, now: TimePoint, service: &str) -> bool {
+    pub(super) fn has_uniform_models(&self, now: TimePoint, service: &str) -> bool {
         self.rejections_until.is_none_or(|until| now >= until)
             && !self.partial_services.contains(service)
     }
--- a/crates/entry/src/forward/state.rs
+++ b/crates/entry/src/forward/state.rs
@@ -19,8 +19,8 @@
 use chestnutloft_core::time::TimePoint;
 
 use super::capacity::PaceNews;
+use super::model_coverage::ServiceModel;
 use super::settings::{CapacitySettings, ForwardSettings, SharedLimits};
-use super::unserved_models::ServiceModel;
 
 /// Share of the key withdrawal time for which an entry accepts keys without a new confirmation by
 /// the keepers; the rest covers the time that an accepted call takes to reach its endpoint.
@@ -102,7 +102,7 @@
     /// Services whose endpoints have reported their pace.
     pub(super) paced_services: BTreeSet<Arc<str>>,
     pub(super) placement: PlacementSettings,
-    pub(super) model_order: ModelOrderSettings,
+    pub(super) model_order_settings: ModelOrderSettings,
     /// Models that routes list and no endpoint of their service announces.
     pub(super) unserved_models: BTreeSet<ServiceModel>,
     /// Services with endpoints that announce only some of the models that routes list.
@@ -179,7 +179,7 @@
             pace_news: PaceNews::default(),
             paced_services: BTreeSet::new(),
             placement: settings.placement.clone(),
-            model_order: settings.model_order.clone(),
+            model_order_settings: settings.model_order.clone(),
             unserved_models: BTreeSet::new(),
             partial_services: BTreeSet::new(),
             rejections_until: None,
