Run a call that may run once at one endpoint, whatever becomes of its answer

Cause: an answer of low confidence was dropped for that of a larger model, and the record of what has run allowed a further attempt after an answer that was discarded, whatever the kind of the call. `larger_model` did not ask the record at all.

Change: the record knows from the arrival of the call whether it may run more than once, and is the only one to hand out `AttemptPermit`, which sending a call takes. A path that forgets to ask is denied at the send and logs an error. Going on from a copy of a run stays possible for any call. The product's own interface starts its attempts by the same record.

--- a/crates/core/src/execution.rs
+++ b/crates/core/src/execution.rs
@@ -18,10 +18,19 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct NotRunProof(());
 
+/// Permission for one attempt. Only an [`ExecutionRecord`] creates one, and sending a request takes
+/// it, so no path can run a request again without asking the record.
+#[derive(Debug, PartialEq, Eq)]
+pub struct AttemptPermit(());
+
 /// Attempts of one request. An attempt counts as run from its start until its end proves that it
 /// has not: an end that is not recorded withholds the promise instead of making a false one.
+///
+/// A request may run only once unless it is known to be idempotent. An answer that the caller never
+/// gets is a run like any other.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ExecutionRecord {
+    is_idempotent: bool,
     open: u32,
     answered: u32,
     lost: u32,
@@ -34,9 +43,29 @@
         (Self::default(), NotRunProof(()))
     }
 
-    /// Records that the request is about to be sent to an endpoint.
-    pub fn start_attempt(&mut self) {
+    /// The same record, of a request that may run more than once if `is_idempotent`.
+    #[must_use]
+    pub fn with_idempotence(self, is_idempotent: bool) -> Self {
+        Self {
+            is_idempotent,
+            ..self
+        }
+    }
+
+    /// Starts an attempt that runs the request, if [`Self::allows_attempt`].
+    pub fn start_attempt(&mut self) -> Option<AttemptPermit> {
+        self.allows_attempt().then(|| self.open_attempt())
+    }
+
+    /// Starts an attempt that goes on with the present run from a copy of its memory. That is no
+    /// second run, and endpoints without the copy reject it.
+    pub fn continue_run(&mut self) -> AttemptPermit {
+        self.open_attempt()
+    }
+
+    fn open_attempt(&mut self) -> AttemptPermit {
         self.open += 1;
+        AttemptPermit(())
     }
 
     /// Records the end of an open attempt.
@@ -51,7 +80,8 @@
 
     /// Proof that the request has not run, unless an attempt may have run it.
     pub fn not_run(&self) -> Option<NotRunProof> {
-        (*self == Self::default()).then_some(NotRunProof(()))
+        let attempts = self.open + self.answered + self.lost;
+        (attempts == 0).then_some(NotRunProof(()))
     }
 
     /// Whether the request has run.
@@ -65,9 +95,14 @@
         }
     }
 
-    /// Whether the request may be sent to another endpoint. One that is not idempotent may not after
-    /// an attempt whose outcome is unknown; an answer that was discarded does not prevent it.
-    pub fn allows_attempt(&self, is_idempotent: bool) -> bool {
-        is_idempotent || (self.lost == 0 && self.open == 0)
+    /// Whether the request may run more than once.
+    pub fn is_idempotent(&self) -> bool {
+        self.is_idempotent
+    }
+
+    /// Whether the request may be sent to another endpoint. One that is not idempotent may not once
+    /// an attempt may have run it, whatever has become of the answer.
+    pub fn allows_attempt(&self) -> bool {
+        self.is_idempotent || self.not_run().is_some()
     }
 }
--- a/crates/core/src/pipe/choose_endpoint.rs
+++ b/crates/core/src/pipe/choose_endpoint.rs
@@ -99,6 +99,8 @@
     /// All available endpoints below their load limit are cold, and this entry holds no slot credit
     /// for them.
     AllCold,
+    /// The request may have run already and may run only once.
+    MayNotRunAgain,
 }
 
 /// State that a selection is based on.
--- a/crates/core/src/pipe/dispatch.rs
+++ b/crates/core/src/pipe/dispatch.rs
@@ -6,7 +6,7 @@
 
 use super::intake::ParsedRequest;
 use super::refusal::RunState;
-use crate::execution::{AttemptEnd, ExecutionRecord};
+use crate::execution::{AttemptEnd, AttemptPermit, ExecutionRecord};
 use crate::ids::EndpointId;
 use crate::state::{RetryBudget, RetrySettings};
 use crate::time::TimePoint;
@@ -53,15 +53,25 @@
 }
 
 impl AttemptHistory {
+    /// No attempts so far of a request that may run more than once if `is_idempotent`. The default is
+    /// that of a request that may not.
+    pub fn with_idempotence(is_idempotent: bool) -> Self {
+        Self {
+            executions: ExecutionRecord::default().with_idempotence(is_idempotent),
+            ..Self::default()
+        }
+    }
+
     /// Endpoints tried so far. A retry uses another one.
     pub fn tried_endpoints(&self) -> &[EndpointId] {
         &self.tried_endpoints
     }
 
-    /// Records the start of an attempt.
-    pub fn start(&mut self, endpoint: &EndpointId) {
+    /// Records the start of an attempt, if the request may run again.
+    pub fn start(&mut self, endpoint: &EndpointId) -> Option<AttemptPermit> {
+        let permit = self.executions.start_attempt()?;
         self.tried_endpoints.push(endpoint.clone());
-        self.executions.start_attempt();
+        Some(permit)
     }
 
     /// Records an attempt that ended with a complete answer.
@@ -92,7 +102,7 @@
         rng: &mut impl Rng,
     ) -> RetryDecision {
         self.executions.end_attempt(failure.attempt_end());
-        let is_safe = self.executions.allows_attempt(request.is_idempotent);
+        let is_safe = self.executions.allows_attempt();
         let attempts = u32::try_from(self.tried_endpoints.len()).unwrap_or(u32::MAX);
         if !is_safe || attempts >= settings.max_attempts {
             return RetryDecision::GiveUp(self.run_state());
--- a/crates/core/src/pipe/router.rs
+++ b/crates/core/src/pipe/router.rs
@@ -326,15 +326,18 @@
         {
             self.request_credits(now, pool);
         }
+        let is_first = history.tried_endpoints().is_empty();
+        history
+            .start(&choice.endpoint)
+            .ok_or(NoEndpoint::MayNotRunAgain)?;
         self.begin(now, &choice, blocks);
-        if history.tried_endpoints().is_empty() {
+        if is_first {
             let retry = &self.settings.retry;
             self.budgets
                 .entry(pool.clone())
                 .or_insert_with(|| RetryBudget::full(retry))
                 .record_request(retry);
         }
-        history.start(&choice.endpoint);
         Ok(choice)
     }
 
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -153,6 +153,7 @@
                 (wait_started_at + EMPTY_POOL_TIMEOUT).min(parsed.deadline)
             }
             NoEndpoint::AllBusy | NoEndpoint::AllCold => parsed.deadline,
+            NoEndpoint::MayNotRunAgain => now,
         };
         if now >= wait_until {
             return Err(no_endpoint_refusal(pool, reason));
@@ -195,6 +196,7 @@
         NoEndpoint::NoneAvailable => format!("no endpoint of {pool} is available"),
         NoEndpoint::AllBusy => format!("all endpoints of {pool} stayed busy"),
         NoEndpoint::AllCold => format!("all endpoints of {pool} are cold"),
+        NoEndpoint::MayNotRunAgain => "the request may have run and may run only once".to_owned(),
     };
     Refusal::not_run(RefusalCode::NoEndpoint, message).retry_after(Duration::from_secs(1))
 }
--- a/crates/entry/src/chat.rs
+++ b/crates/entry/src/chat.rs
@@ -216,6 +216,7 @@
         request: ChatRequest,
         sender: mpsc::Sender<AnswerPart>,
     ) -> Self {
+        let history = AttemptHistory::with_idempotence(request.parsed.is_idempotent);
         let record = DecisionRecord {
             request: request.request_id.clone(),
             workspace: request.parsed.workspace.to_string(),
@@ -228,7 +229,7 @@
             request,
             sender,
             record,
-            history: AttemptHistory::default(),
+            history,
             first_sent_at: None,
         }
     }
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -9,8 +9,8 @@
 use hyper::http::response::Parts;
 use hyper::{Request, StatusCode};
 
-use chestnutloft_core::execution::AttemptEnd;
-use chestnutloft_core::routing::{CallKind, LostCall};
+use chestnutloft_core::execution::{AttemptEnd, AttemptPermit};
+use chestnutloft_core::routing::LostCall;
 use chestnutloft_core::time::TimePoint;
 use chestnutloft_wire::clock;
 use chestnutloft_wire::http::is_final_status;
@@ -48,13 +48,15 @@
     /// The endpoint was still reading the request when the call's time was over, which is no failure
     /// of the endpoint; the call may have run.
     Unread,
+    /// The call may have run before and may run only once; this attempt was not sent.
+    NotPermitted,
 }
 
 impl AttemptFailure {
     /// Whether the call may have run.
     pub fn attempt_end(&self) -> AttemptEnd {
         match self {
-            Self::Unreachable(_) | Self::NotRun { .. } => AttemptEnd::NotRun,
+            Self::Unreachable(_) | Self::NotRun { .. } | Self::NotPermitted => AttemptEnd::NotRun,
             Self::Broken(_) | Self::TimedOut(_) | Self::Unread => AttemptEnd::Lost,
         }
     }
@@ -70,6 +72,7 @@
             Self::Broken(_) => "broken",
             Self::TimedOut(_) => "silent",
             Self::Unread => "unread",
+            Self::NotPermitted => "not_permitted",
         }
     }
 }
@@ -228,7 +231,7 @@
 pub async fn send_attempt(
     context: &Arc<ForwardContext>,
     call: &InboundCall,
-    mut guard: AttemptGuard,
+    (mut guard, permit): (AttemptGuard, AttemptPermit),
     model: Option<&str>,
     resume_after: Option<u64>,
     timeout: Duration,
@@ -237,6 +240,7 @@
     let sending = send_call(
         context,
         call,
+        permit,
         &guard.endpoint,
         (model, resume_after),
         &meter,
@@ -350,19 +354,20 @@
     Ok(())
 }
 
+/// Sends `call` once, which takes the permission to do so. Pooled connections that were closed before
+/// the call was sent are passed over.
 async fn send_call(
     context: &ForwardContext,
     call: &InboundCall,
+    _permit: AttemptPermit,
     endpoint: &ChosenEndpoint,
     (model, resume_after): (Option<&str>, Option<u64>),
     meter: &CurrentMeter,
 ) -> Result<(hyper::Response<Incoming>, EndpointConnection), AttemptFailure> {
-    let max_idle = match call.route.kind {
-        CallKind::NonIdempotent
-        | CallKind::Stream {
-            is_resumable: false,
-        } => NON_IDEMPOTENT_IDLE,
-        _ => IDEMPOTENT_IDLE,
+    let max_idle = if call.executions.is_idempotent() {
+        IDEMPOTENT_IDLE
+    } else {
+        NON_IDEMPOTENT_IDLE
     };
     loop {
         let now = clock::now();
--- a/crates/entry/src/forward/escalation.rs
+++ b/crates/entry/src/forward/escalation.rs
@@ -73,6 +73,15 @@
             expected_delay: self.expected_delay(next, pool),
         };
         policy.next_model(&candidate, pool)?;
+        if !self.call.executions.allows_attempt() {
+            spdlog::info!(
+                "call {}: confidence {:?} of model index {} is too low, but its answer is relayed: the call has run and may run only once.",
+                self.call.head.id,
+                confidence,
+                self.model_index
+            );
+            return None;
+        }
         if self.attempts >= self.call.route.max_attempts
             || !self
                 .context
--- a/crates/entry/src/forward/inbound.rs
+++ b/crates/entry/src/forward/inbound.rs
@@ -166,6 +166,7 @@
     let timeout = head.timeout.unwrap_or(route_timeout).min(route_timeout);
     let body = receive_body(context, body, timeout, not_run).await;
     let body = body.map_err(refuse)?;
+    let is_idempotent = route.kind.is_repeatable();
     Ok(InboundCall {
         shared_segments: shared_segments(&head.prompt),
         head,
@@ -176,7 +177,7 @@
         workspace,
         received_at,
         deadline: received_at + timeout,
-        executions,
+        executions: executions.with_idempotence(is_idempotent),
         copies: CopyLinks::default(),
     })
 }
--- a/crates/entry/src/forward/pipeline.rs
+++ b/crates/entry/src/forward/pipeline.rs
@@ -8,7 +8,7 @@
 use hyper::{Request, Response};
 
 use chestnutloft_core::admission::StreamAlternative;
-use chestnutloft_core::execution::AttemptEnd;
+use chestnutloft_core::execution::{AttemptEnd, AttemptPermit};
 use chestnutloft_core::hash::key_hash;
 use chestnutloft_core::routing::{BodyDirection, CallKind, ModelLane, SegmentAdmission};
 use chestnutloft_core::time::TimePoint;
@@ -269,10 +269,11 @@
     /// Makes the attempt that `guard` counts. Records a failure and applies it to the call.
     pub async fn attempt(
         &mut self,
-        guard: AttemptGuard,
+        mut guard: AttemptGuard,
         resume_after: Option<u64>,
     ) -> Result<EndpointResponse, AttemptFailure> {
         let now = clock::now();
+        let permit = self.permit_attempt(&mut guard)?;
         let endpoint = guard.endpoint.clone();
         let prefill = &endpoint.prefill;
         let timeout = self.response_timeout(now, prefill.expected_delay());
@@ -292,12 +293,11 @@
         self.tried.insert(Arc::clone(&endpoint.id));
         self.attempts += 1;
         self.is_last_unsent = false;
-        self.call.executions.start_attempt();
         let model = self.model();
         let sending = send_attempt(
             &self.context,
             &self.call,
-            guard,
+            (guard, permit),
             model.as_deref(),
             resume_after,
             timeout,
@@ -309,6 +309,28 @@
         outcome
     }
 
+    /// Permission for the attempt that `guard` counts. One that names a copy goes on with the present
+    /// run.
+    fn permit_attempt(
+        &mut self,
+        guard: &mut AttemptGuard,
+    ) -> Result<AttemptPermit, AttemptFailure> {
+        let executions = &mut self.call.executions;
+        if self.call.copies.source.is_some() {
+            return Ok(executions.continue_run());
+        }
+        executions.start_attempt().ok_or_else(|| {
+            spdlog::error!(
+                "call {}: not sent to endpoint {}: it may have run and may run only once.",
+                self.call.head.id,
+                guard.endpoint.id
+            );
+            guard.mark_logged();
+            guard.mark_harmless();
+            AttemptFailure::NotPermitted
+        })
+    }
+
     /// Records the failure of an attempt and applies it to the call.
     fn fail_attempt(&mut self, endpoint: &ChosenEndpoint, failure: &AttemptFailure) {
         self.record_attempt_failure(endpoint, failure);
@@ -348,7 +370,7 @@
                     state.record_warmup_rejection(now, endpoint);
                 }
             }
-            AttemptFailure::Unread => {}
+            AttemptFailure::Unread | AttemptFailure::NotPermitted => {}
             AttemptFailure::Broken(_) => {
                 self.record_lost(endpoint);
                 self.record_failure(now, endpoint);
--- a/crates/entry/src/forward/retries.rs
+++ b/crates/entry/src/forward/retries.rs
@@ -71,6 +71,9 @@
                     "the endpoints are full"
                 };
             }
+            AttemptFailure::NotPermitted => {
+                self.failure = "the call may run only once";
+            }
             AttemptFailure::Broken(_) => {
                 self.failure = "the endpoint broke off";
             }
@@ -87,8 +90,7 @@
     /// unless the last attempt reached no endpoint and so put no load on the service.
     pub fn acquire_retry(&mut self) -> bool {
         let now = clock::now();
-        let is_repeatable = self.call.route.kind.is_repeatable();
-        self.call.executions.allows_attempt(is_repeatable)
+        self.call.executions.allows_attempt()
             && self.allows_repeat()
             && self.has_attempts_left()
             && self.call.time_left(now) > MIN_ATTEMPT_TIME
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -337,7 +337,7 @@
     request: &PlainRequest,
 ) -> Result<EndpointAnswer, Refusal> {
     let parsed = &request.parsed;
-    let mut history = AttemptHistory::default();
+    let mut history = AttemptHistory::with_idempotence(parsed.is_idempotent);
     loop {
         let attempt = attempt::acquire(context, &request.pool, parsed, &[], &mut history).await;
         let attempt = attempt.map_err(|refusal| refusal.with_run(history.run_state()))?;
--- a/crates/plan/tests/golden.rs
+++ b/crates/plan/tests/golden.rs
@@ -193,7 +193,7 @@
             }
         }
         let pool = PoolKey::Version(version.clone());
-        let mut history = AttemptHistory::default();
+        let mut history = AttemptHistory::with_idempotence(parsed.is_idempotent);
         let mut attempts = Vec::new();
         for number in 0..2 {
             let failure = (number == 0 && first_fails).then_some(AttemptFailure::Broken);
