Keep cascades from requests that may run only once

No request can reach it that way: only requests without a plain service choose a version, and requests to model engines are always idempotent (a test shows it). The choice now asks all the same, so that it does not depend on intake.

`request_that_may_run_once_takes_no_cascade` fails without the check (8 cascades offered).

--- a/crates/core/src/pipe/choose_version.rs
+++ b/crates/core/src/pipe/choose_version.rs
@@ -326,8 +326,9 @@
         quality_table: &QualityTable,
     ) -> Vec<ArmCandidate> {
         let mut cascades = Vec::new();
-        // A session is bound to a single version, but a cascade may answer with either of two.
-        if request.session.is_some() {
+        // A session is bound to a single version, but a cascade may answer with either of two. A
+        // request that may run only once cannot have two versions run it.
+        if request.session.is_some() || !request.is_idempotent {
             return cascades;
         }
         for (i, cheap) in singles
