Choose the model of a call that may run once before it runs

Load: a route with several models whose calls may run only once. Their answers can't be replaced any more by those of a larger model, so that each call got the smallest model's answer, hard or not.

Change: `core::routing::single_run`. `AnswerErrors` keeps, by route, size of call and model, how likely answers were wrong by the models' own confidence; escalated routes feed it as well. `choose_single_model` takes the larger model whose expected gain exceeds its additional price the most, the price rising with the load of its pool; the smallest one while nothing is known, when the others would be late, or under load. One call in 16 runs on a smaller model so that the estimates stay current. Models that nobody runs are left out as before. The log and `chestnutloft.single_runs` say which model was chosen and why.

--- a/crates/core/src/routing/escalation.rs
+++ b/crates/core/src/routing/escalation.rs
@@ -192,6 +192,37 @@
     }
 }
 
+impl EscalationSettings {
+    /// Chance that an answer of this confidence, 0 to 100, is wrong.
+    pub fn error_chance(&self, confidence: f64) -> f64 {
+        let odds = ((confidence - self.even_confidence) / self.confidence_scale).exp();
+        1.0 / (1.0 + odds)
+    }
+
+    /// Worth of a right answer to a call of this size.
+    pub(super) fn worth(&self, tokens: CallTokens) -> f64 {
+        (tokens.prompt * self.prompt_worth + tokens.output * self.output_worth) / 1_000.0
+    }
+
+    /// Price of a call of this size at a model of `cost` per 1,000 generated tokens.
+    pub(super) fn price(&self, tokens: CallTokens, cost: f64) -> f64 {
+        let billed_tokens = tokens.prompt * self.prompt_price_share + tokens.output;
+        billed_tokens / 1_000.0 * cost
+    }
+
+    /// Capacity left in the pool, from 1 while it is idle to 0 when it is full.
+    pub(super) fn headroom(&self, target_latency: Duration, pool: PoolLoad) -> f64 {
+        let delay_share = pool.queue_delay.as_secs_f64() / target_latency.as_secs_f64().max(0.001);
+        let left = |measured: f64, busy: f64, full: f64| {
+            ((full - measured) / (full - busy)).clamp(0.0, 1.0)
+        };
+        let by_queue_delay = left(delay_share, self.busy_share, self.full_share);
+        let by_utilization = left(pool.utilization, self.busy_load, self.full_load);
+        let by_slowdown = left(pool.slowdown, self.busy_slowdown, self.full_slowdown);
+        by_queue_delay.min(by_utilization).min(by_slowdown)
+    }
+}
+
 /// Decides on escalations among the models of a route.
 #[derive(Clone, Debug, PartialEq)]
 pub struct EscalationPolicy {
@@ -218,7 +249,8 @@
         if answer.model_index >= largest || is_late || is_too_slow {
             return None;
         }
-        let is_paid_for = self.error_chance(confidence) >= self.min_error_chance(answer, pool);
+        let is_paid_for =
+            self.settings.error_chance(confidence) >= self.min_error_chance(answer, pool);
         is_paid_for.then_some(largest)
     }
 
@@ -237,40 +269,14 @@
         }
     }
 
-    /// Chance that an answer of this confidence is wrong.
-    fn error_chance(&self, confidence: f64) -> f64 {
-        let settings = &self.settings;
-        let odds = ((confidence - settings.even_confidence) / settings.confidence_scale).exp();
-        1.0 / (1.0 + odds)
-    }
-
     /// Chance of a wrong answer from which asking the largest model pays. Above 1, it never does.
     fn min_error_chance(&self, answer: &EscalationCandidate, pool: PoolLoad) -> f64 {
         let settings = &self.settings;
-        let CallTokens { prompt, output } = answer.tokens;
-        let worth = (prompt * settings.prompt_worth + output * settings.output_worth) / 1_000.0;
-        let billed_tokens = prompt * settings.prompt_price_share + output;
+        let worth = settings.worth(answer.tokens);
         let cost = self.costs.last().copied().unwrap_or_default();
-        let price = billed_tokens / 1_000.0 * cost;
+        let price = settings.price(answer.tokens, cost);
         let idle_chance = (price / worth.max(f64::EPSILON)).max(settings.min_error_chance);
-        idle_chance / self.headroom(answer, pool).max(f64::EPSILON)
-    }
-
-    /// Capacity left in the pool, from 1 while it is idle to 0 when it is full.
-    fn headroom(&self, answer: &EscalationCandidate, pool: PoolLoad) -> f64 {
-        let settings = &self.settings;
-        let delay_share =
-            pool.queue_delay.as_secs_f64() / answer.target_latency.as_secs_f64().max(0.001);
-        let left = |measured: f64, busy: f64, full: f64| {
-            ((full - measured) / (full - busy)).clamp(0.0, 1.0)
-        };
-        let by_queue_delay = left(delay_share, settings.busy_share, settings.full_share);
-        let by_utilization = left(pool.utilization, settings.busy_load, settings.full_load);
-        let by_slowdown = left(
-            pool.slowdown,
-            settings.busy_slowdown,
-            settings.full_slowdown,
-        );
-        by_queue_delay.min(by_utilization).min(by_slowdown)
+        let headroom = settings.headroom(answer.target_latency, pool);
+        idle_chance / headroom.max(f64::EPSILON)
     }
 }
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -38,6 +38,7 @@
 mod segment_faults;
 mod segment_knowledge;
 mod sessions;
+mod single_run;
 mod slow_start;
 mod state;
 mod sum_delta;
@@ -107,6 +108,9 @@
 };
 pub use segment_knowledge::{SegmentAdmission, SegmentKnowledge};
 pub use sessions::{SessionHash, SessionVersions, VersionPreference, session_hash};
+pub use single_run::{
+    AnswerErrors, ModelOption, SingleRunCall, SingleRunChoice, SingleRunReason, choose_single_model,
+};
 pub use slow_start::{
     PoolWarmth, SlowStartControl, SlowStartSettings, WarmupCause, WarmupChange, WarmupEvent,
     WarmupRequest, WarmupStart, max_sound_delay,
--- a/crates/core/src/routing/model_support.rs
+++ b/crates/core/src/routing/model_support.rs
@@ -9,7 +9,7 @@
 use super::misdirection::{MisdirectedModels, ModelHash};
 
 /// The model that a call is sent for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum SentModel {
     /// A model, by the hash of its name.
     Named(ModelHash),
--- a/crates/core/tests/routing/main.rs
+++ b/crates/core/tests/routing/main.rs
@@ -33,6 +33,7 @@
 mod segment_faults;
 mod segment_knowledge;
 mod sessions;
+mod single_run;
 mod slow_start;
 mod slow_start_fleet;
 mod slow_start_shortage;
--- a/crates/entry/src/forward/escalation.rs
+++ b/crates/entry/src/forward/escalation.rs
@@ -103,12 +103,16 @@
     }
 
     /// Starts with the smallest model that endpoints run, or with the largest one if there is no time
-    /// to ask the smallest one first.
+    /// to ask the smallest one first. A call that may run only once has a choice of its own.
     pub(super) fn choose_first_model(&mut self, now: TimePoint) {
         if !self.has_model_choice() {
             return;
         }
         let by_size = 0..self.call.route.models.len();
+        if !self.call.executions.is_idempotent() {
+            self.choose_single_model(now);
+            return;
+        }
         if let Some(smallest) = self.model_order(now, by_size).into_iter().min() {
             self.model_index = smallest;
         }
@@ -148,7 +152,11 @@
     }
 
     /// Load of the endpoints that run each of the models.
-    fn model_loads<const N: usize>(&self, now: TimePoint, indexes: [usize; N]) -> [PoolLoad; N] {
+    pub(super) fn model_loads<const N: usize>(
+        &self,
+        now: TimePoint,
+        indexes: [usize; N],
+    ) -> [PoolLoad; N] {
         let sent = |index| self.call.sent_model(self.model_at(index).as_deref());
         let state = self.context.state();
         state.model_loads(now, &self.call.service.name, indexes.map(sent))
@@ -156,7 +164,7 @@
 
     /// Expected time until the answer of the model begins; zero where capacity is not managed. The
     /// shared prefix counts as cached.
-    fn expected_delay(&self, model_index: usize, pool: PoolLoad) -> Duration {
+    pub(super) fn expected_delay(&self, model_index: usize, pool: PoolLoad) -> Duration {
         if !self.is_capacity_managed() {
             return Duration::ZERO;
         }
@@ -173,7 +181,7 @@
     }
 
     /// Settings by which the call is escalated.
-    fn escalation_settings(&self) -> EscalationSettings {
+    pub(super) fn escalation_settings(&self) -> EscalationSettings {
         let settings = self.context.escalation.clone();
         if !self.is_capacity_managed() {
             return settings;
@@ -188,7 +196,7 @@
     }
 
     /// Cost per 1,000 generated tokens of one of the route's models.
-    fn model_cost(&self, index: usize) -> f64 {
+    pub(super) fn model_cost(&self, index: usize) -> f64 {
         let model = self.call.route.models.get(index);
         let mut rules = self.call.service.models.iter();
         let rule = rules.find(|rule| Some(&rule.name) == model);
@@ -196,7 +204,7 @@
     }
 
     /// Size of the call.
-    fn tokens(&self) -> CallTokens {
+    pub(super) fn tokens(&self) -> CallTokens {
         let prompt = self.call.head.prompt.iter();
         let output = self.call.head.max_output_tokens;
         CallTokens {
--- a/crates/entry/src/forward/metrics.rs
+++ b/crates/entry/src/forward/metrics.rs
@@ -9,7 +9,9 @@
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, UpDownCounter};
 
-use chestnutloft_core::routing::{PaceSource, ReadingCounts, UsageSum, endpoint_hash};
+use chestnutloft_core::routing::{
+    PaceSource, ReadingCounts, SingleRunReason, UsageSum, endpoint_hash,
+};
 use chestnutloft_core::time::TimePoint;
 use chestnutloft_wire::metrics::MetricsPage;
 
@@ -42,6 +44,7 @@
     attempts: Counter<u64>,
     escalations: Counter<u64>,
     kept_answers: Counter<u64>,
+    single_runs: Counter<u64>,
     resumes: Counter<u64>,
     run_copies: Counter<u64>,
     first_event: Histogram<f64>,
@@ -184,6 +187,10 @@
                 "chestnutloft.kept_answers",
                 "Answers relayed since no larger model took the call",
             ),
+            single_runs: counter(
+                "chestnutloft.single_runs",
+                "Models chosen for calls that may run only once, by reason",
+            ),
             resumes: counter("chestnutloft.resumes", "Streams that went on elsewhere"),
             run_copies: counter(
                 "chestnutloft.run_copies",
@@ -430,6 +437,21 @@
         self.kept_answers.add(1, &labels);
     }
 
+    /// Counts the model chosen for a call that may run only once.
+    pub fn record_single_run(
+        &self,
+        call: &InboundCall,
+        model_index: usize,
+        reason: SingleRunReason,
+    ) {
+        let labels = [
+            KeyValue::new("service", call.service.name.to_string()),
+            KeyValue::new("rung", model_index.to_string()),
+            KeyValue::new("reason", reason.label()),
+        ];
+        self.single_runs.add(1, &labels);
+    }
+
     /// Counts a stream that was resumed at another endpoint.
     pub fn record_resume(&self, call: &InboundCall) {
         let labels = [KeyValue::new("service", call.service.name.to_string())];
--- a/crates/entry/src/forward/mod.rs
+++ b/crates/entry/src/forward/mod.rs
@@ -38,6 +38,7 @@
 pub mod segments;
 mod server;
 pub mod settings;
+mod single_run;
 mod slow_start;
 mod sockets;
 pub mod state;
--- a/crates/entry/src/forward/pipeline.rs
+++ b/crates/entry/src/forward/pipeline.rs
@@ -408,6 +408,8 @@
             return;
         }
         let took = now.since(guard.started_at);
+        self.record_confidence(response);
+        let guard = &response.guard;
         let version = &guard.endpoint.version;
         self.context
             .metrics
--- a/crates/entry/src/forward/state.rs
+++ b/crates/entry/src/forward/state.rs
@@ -7,14 +7,14 @@
 
 use chestnutloft_core::admission::{ClassRank, PriorityClass};
 use chestnutloft_core::routing::{
-    ArmCount, ArmKey, CapacityLedger, EndpointHash, EndpointNotice, EndpointPhase, EndpointProcess,
-    EndpointRateLimiter, EndpointRest, EntryDemand, EventGapReport, EventGapTracker,
-    HealthSettings, IdleGap, LeavingEndpoints, ModelOrderSettings, ModelSupport, PaceReadings,
-    PlacementSettings, PoolHealth, PrefillProfile, PrefillTimeEstimator, PrefixDirectory,
-    QueueDelayEstimator, ReceivedSums, RolloutStage, RolloutState, RoomShare, RouteDeclaration,
-    RouteTable, RoutingRevision, RoutingUpdate, SegmentAdmission, SegmentKnowledge,
-    ServiceRetryBudget, ServiceRetrySettings, SessionVersions, SlowStartControl, SpeedMeans,
-    StatedLimits, TerminationHistory, WarmupCause, endpoint_hash,
+    AnswerErrors, ArmCount, ArmKey, CapacityLedger, EndpointHash, EndpointNotice, EndpointPhase,
+    EndpointProcess, EndpointRateLimiter, EndpointRest, EntryDemand, EventGapReport,
+    EventGapTracker, HealthSettings, IdleGap, LeavingEndpoints, ModelOrderSettings, ModelSupport,
+    PaceReadings, PlacementSettings, PoolHealth, PrefillProfile, PrefillTimeEstimator,
+    PrefixDirectory, QueueDelayEstimator, ReceivedSums, RolloutStage, RolloutState, RoomShare,
+    RouteDeclaration, RouteTable, RoutingRevision, RoutingUpdate, SegmentAdmission,
+    SegmentKnowledge, ServiceRetryBudget, ServiceRetrySettings, SessionVersions, SlowStartControl,
+    SpeedMeans, StatedLimits, TerminationHistory, WarmupCause, endpoint_hash,
 };
 use chestnutloft_core::time::TimePoint;
 
@@ -117,6 +117,8 @@
     pub(super) idle_event_gap: IdleGap,
     /// Time between these events at the peer entries, as they last reported it.
     pub(super) peer_event_gap: EventGapReport,
+    /// Chance of wrong answers by route and model.
+    pub(super) answer_errors: AnswerErrors,
     declaration: RouteDeclaration,
     pub(super) table: Arc<RouteTable>,
     /// Index of the latest change of the routing state that has been applied.
@@ -188,6 +190,7 @@
             large_model_event_gap: EventGapTracker::default(),
             idle_event_gap: IdleGap::default(),
             peer_event_gap: EventGapReport::default(),
+            answer_errors: AnswerErrors::default(),
             declaration: RouteDeclaration::default(),
             table: Arc::default(),
             index: 0,
@@ -259,6 +262,9 @@
         if let Some(declaration) = update.declaration {
             Arc::unwrap_or_clone(declaration).apply(&mut self.declaration);
             self.table = Arc::new(RouteTable::new(&self.declaration));
+            let routes = self.declaration.routes.iter();
+            self.answer_errors
+                .retain_routes(routes.map(|route| &*route.name));
             spdlog::info!(
                 "routes: declaration {} applied with {} routes.",
                 self.declaration.number,
