--- a/crates/core/src/routing/declaration_check.rs
+++ b/crates/core/src/routing/declaration_check.rs
@@ -189,12 +189,7 @@
         if attempts == 0 {
             self.warn("attempts", "0 has the effect of 1", "write 1 or more");
         }
-        if attempts <= 1 && self.route.models.len() > 1 {
-            let models = self.route.models.len();
-            let attempts = counted(attempts as usize, "attempt");
-            let problem = format!("{attempts} per call: no escalation among the {models} models");
-            self.warn("attempts", problem, "allow 2 attempts or name one model");
-        }
+        self.check_escalation();
         let needed = retries_per_call(attempts);
         if needed > settings.retry_ratio {
             let problem = format!(
@@ -206,6 +201,26 @@
         }
     }
 
+    /// A second model is another run and another attempt.
+    fn check_escalation(&mut self) {
+        let (models, attempts) = (self.route.models.len(), self.route.max_attempts);
+        if models <= 1 {
+            return;
+        }
+        if !self.route.kind.is_repeatable() {
+            let problem = format!(
+                "calls may run only once: no escalation among the {models} models, one is chosen \
+                 before the answer is known"
+            );
+            let remedy = "let the calls run more than once, or name one model";
+            self.warn("models", problem, remedy);
+        } else if attempts <= 1 {
+            let attempts = counted(attempts as usize, "attempt");
+            let problem = format!("{attempts} per call: no escalation among the {models} models");
+            self.warn("attempts", problem, "allow 2 attempts or name one model");
+        }
+    }
+
     fn check_models(&mut self, table: &RouteTable) {
         for share in &self.route.shares {
             let Some(service) = table.service(&share.service) else {
--- a/crates/core/tests/routing/declaration_check.rs
+++ b/crates/core/tests/routing/declaration_check.rs
@@ -1,5 +1,5 @@
 use chestnutloft_core::routing::{
-    DeclarationCheckSettings, RouteDeclaration, RouteTable, check_replacement,
+    CallKind, DeclarationCheckSettings, RouteDeclaration, RouteTable, check_replacement,
     check_route_declaration,
 };
 
@@ -78,6 +78,30 @@
     assert_eq!((count(0.87), count(0.88)), (1, 0));
 }
 
+/// Guards against a route with several models that never escalates, without a word to its operator
+/// (review/15).
+#[test]
+fn routes_that_never_escalate_are_found() {
+    let finding = |kind, max_attempts, models: &[&str]| {
+        let findings = findings_after(|d| {
+            d.routes[0].kind = kind;
+            d.routes[0].max_attempts = max_attempts;
+            d.routes[0].models = models.iter().copied().map(Into::into).collect();
+        });
+        findings.join("\n")
+    };
+    let stream = |is_resumable| CallKind::Stream { is_resumable };
+    let sizes = ["s", "l"];
+
+    let single_run = "calls may run only once: no escalation among the 2 models";
+    assert!(finding(stream(false), 2, &sizes).contains(single_run));
+    assert!(finding(stream(false), 1, &sizes).contains(single_run));
+    assert!(finding(CallKind::NonIdempotent, 2, &sizes).contains(single_run));
+    assert!(finding(stream(true), 1, &sizes).contains("1 attempt per call: no escalation"));
+    assert_eq!(finding(stream(true), 2, &sizes), "");
+    assert_eq!(finding(stream(false), 2, &sizes[..1]), "");
+}
+
 /// Guards against workspaces that are taken for usable, or doubted although no route needs a key.
 #[test]
 fn workspaces_without_an_open_route_are_found() {
