Keep calls from versions that were rolled back until they are ordered again

Cause: only the latest roll-out of a service was kept, so that the order of the next one erased the record of the roll-back, and the version counted as an old one.

Change: a roll-out carries the versions that were rolled back before it and not ordered again since; entries send them no calls, and the canary analysis does not compare the next version with them. Keepers' messages about roll-outs have a new field.

--- a/crates/core/src/routing/rollout.rs
+++ b/crates/core/src/routing/rollout.rs
@@ -51,6 +51,44 @@
     pub elapsed_ms: u64,
     /// Last change of the stage.
     pub changed_at: ChangeIndex,
+    /// Versions that earlier roll-outs of the service were rolled back from and that have not been
+    /// ordered again since, oldest first.
+    pub rejected: Vec<Arc<str>>,
+}
+
+/// Number of rejected versions of a service that are kept.
+const MAX_REJECTED_VERSIONS: usize = 16;
+
+impl RolloutState {
+    /// The first stage of `order`, which was replicated as change `index` and follows the roll-out
+    /// `previous` of its service.
+    pub(super) fn start(index: ChangeIndex, order: &RolloutOrder, previous: Option<&Self>) -> Self {
+        let mut rejected = previous.map_or_else(Vec::new, Self::rejected_versions);
+        rejected.retain(|version| *version != order.target);
+        let excess = rejected.len().saturating_sub(MAX_REJECTED_VERSIONS);
+        rejected.drain(..excess);
+        Self {
+            order: order.clone(),
+            stage: RolloutStage::Trial,
+            elapsed_ms: 0,
+            changed_at: index,
+            rejected,
+        }
+    }
+
+    /// All versions that get no calls because they were rolled back, oldest first.
+    fn rejected_versions(&self) -> Vec<Arc<str>> {
+        let is_rolled_back = self.stage == RolloutStage::RolledBack;
+        let target = is_rolled_back.then(|| Arc::clone(&self.order.target));
+        self.rejected.iter().cloned().chain(target).collect()
+    }
+
+    /// Whether `version` gets no calls because it was rolled back.
+    pub fn rejects(&self, version: &str) -> bool {
+        let is_rolled_back = self.stage == RolloutStage::RolledBack;
+        is_rolled_back && *self.order.target == *version
+            || self.rejected.iter().any(|rejected| **rejected == *version)
+    }
 }
 
 /// When a roll-out advances to its next stage.
--- a/crates/core/src/routing/state.rs
+++ b/crates/core/src/routing/state.rs
@@ -230,33 +230,29 @@
     }
 
     fn start_rollout(&mut self, index: ChangeIndex, order: &RolloutOrder) -> bool {
-        let is_duplicate = self
-            .rollouts
-            .get(&order.service)
-            .is_some_and(|rollout| rollout.order == *order);
-        if !is_duplicate {
-            let state = RolloutState {
-                order: order.clone(),
-                stage: RolloutStage::Trial,
-                elapsed_ms: 0,
-                changed_at: index,
-            };
-            self.rollouts.insert(Arc::clone(&order.service), state);
+        let previous = self.rollouts.get(&order.service);
+        if previous.is_some_and(|rollout| rollout.order == *order) {
+            return false;
         }
-        !is_duplicate
+        self.begin_rollout(index, order);
+        true
     }
 
     fn restart_rollout(&mut self, index: ChangeIndex, order: &RolloutOrder) -> bool {
-        if self
-            .rollouts
-            .get(&order.service)
-            .is_some_and(|rollout| rollout.stage == RolloutStage::RolledBack)
-        {
-            self.rollouts.remove(&order.service);
+        let previous = self.rollouts.get(&order.service);
+        if previous.is_some_and(|rollout| rollout.stage == RolloutStage::RolledBack) {
+            self.begin_rollout(index, order);
+            return true;
         }
         self.start_rollout(index, order)
     }
 
+    fn begin_rollout(&mut self, index: ChangeIndex, order: &RolloutOrder) {
+        let previous = self.rollouts.get(&order.service);
+        let rollout = RolloutState::start(index, order, previous);
+        self.rollouts.insert(Arc::clone(&order.service), rollout);
+    }
+
     fn advance_rollout(
         &mut self,
         index: ChangeIndex,
--- a/crates/entry/src/forward/choice.rs
+++ b/crates/entry/src/forward/choice.rs
@@ -413,10 +413,7 @@
 
     fn is_version_allowed(&self, endpoint: &EndpointState) -> bool {
         let rollout = self.rollouts.get(&endpoint.notice.service);
-        rollout.is_none_or(|rollout| {
-            rollout.stage != RolloutStage::RolledBack
-                || endpoint.notice.version != rollout.order.target
-        })
+        rollout.is_none_or(|rollout| !rollout.rejects(&endpoint.notice.version))
     }
 
     /// Endpoints that a call of `session` may go to and that run its model, grouped by version, in
--- a/crates/entry/tests/model_choice.rs
+++ b/crates/entry/tests/model_choice.rs
@@ -113,6 +113,7 @@
         stage,
         elapsed_ms: 0,
         changed_at: 1,
+        rejected: Vec::new(),
     });
     let update = RoutingUpdate {
         index: 1,
--- a/crates/entry/tests/state.rs
+++ b/crates/entry/tests/state.rs
@@ -8,8 +8,8 @@
 use chestnutloft_core::routing::{
     DeclarationUpdate, DirectoryChange, EndedEndpoint, EndpointNotice, EndpointPhase,
     EndpointProcess, LeavingStatement, LoadSummary, LostCall, ModelLane, PoolEndpoint,
-    RolloutOrder, RolloutStage, RolloutState, RoutingUpdate, SentModel, ServiceRule, SessionHash,
-    session_hash,
+    RolloutOrder, RolloutStage, RolloutState, RoutingCommand, RoutingRevision, RoutingState,
+    RoutingUpdate, SentModel, ServiceRule, SessionHash, session_hash,
 };
 use chestnutloft_core::time::TimePoint;
 use chestnutloft_entry::forward::choice::{
@@ -71,6 +71,7 @@
         stage,
         elapsed_ms: 0,
         changed_at: index,
+        rejected: Vec::new(),
     }
 }
 
@@ -258,6 +259,95 @@
     assert_eq!(versions, ["v1"]);
 }
 
+/// The roll-outs that a keeper sends after `commands`.
+fn rollouts_after(commands: &[RoutingCommand]) -> RoutingUpdate {
+    let mut routing = RoutingState::default();
+    for (index, command) in (10..).zip(commands) {
+        routing.apply(index, command);
+    }
+    routing.update_from(RoutingRevision::default(), None, |_| unreachable!())
+}
+
+/// Orders a roll-out of version `target`.
+fn start(target: &str) -> RoutingCommand {
+    RoutingCommand::StartRollout(RolloutOrder {
+        target: Arc::from(target),
+        ..rollout(RolloutStage::Trial, 0).order
+    })
+}
+
+/// Records the stage of the roll-out of version `target`.
+fn advance(target: &str, stage: RolloutStage) -> RoutingCommand {
+    RoutingCommand::MoveRollout {
+        service: Arc::from("llm"),
+        target: Arc::from(target),
+        stage,
+        elapsed_ms: 5_000,
+    }
+}
+
+/// Endpoints that sessions go to at versions v1, v2 and v3 after `commands`.
+fn chosen_after(commands: &[RoutingCommand]) -> BTreeSet<Arc<str>> {
+    let mut state = state_with_v1_endpoint();
+    let update = RoutingUpdate {
+        endpoints: vec![
+            endpoint("second", "v2", 2, 0),
+            endpoint("third", "v3", 3, 0),
+        ],
+        ..rollouts_after(commands)
+    };
+    state.apply(at(10), at(10), update);
+    let mut chosen = BTreeSet::new();
+    for session in 0..SESSIONS {
+        if let Ok(endpoint) = choose(&mut state, at(2_000), session) {
+            state.start_attempt(at(2_000), &endpoint.id, 1.0);
+            chosen.insert(endpoint.id);
+        }
+    }
+    chosen
+}
+
+/// Guards against calls for a version that was rolled back, once another roll-out of its service is
+/// ordered (review/14).
+#[test]
+fn rolled_back_version_gets_no_calls_during_later_roll_outs() {
+    let rolled_back = [start("v2"), advance("v2", RolloutStage::RolledBack)];
+    let next_stages = [
+        RolloutStage::Trial,
+        RolloutStage::Shift,
+        RolloutStage::Completed,
+        RolloutStage::RolledBack,
+    ];
+
+    for stage in next_stages {
+        let mut commands = rolled_back.to_vec();
+        commands.extend([start("v3"), advance("v3", stage)]);
+
+        let chosen = chosen_after(&commands);
+
+        assert!(!chosen.contains("second"), "{stage:?}: {chosen:?}");
+        assert!(!chosen.is_empty(), "{stage:?}");
+    }
+}
+
+/// A version that is ordered again after it was rolled back gets calls again.
+#[test]
+fn version_that_is_ordered_again_gets_calls() {
+    let commands = [
+        start("v2"),
+        advance("v2", RolloutStage::RolledBack),
+        start("v3"),
+        advance("v3", RolloutStage::RolledBack),
+        start("v2"),
+        advance("v2", RolloutStage::Shift),
+    ];
+
+    let chosen = chosen_after(&commands);
+
+    assert!(chosen.contains("second"), "{chosen:?}");
+    assert!(!chosen.contains("third"), "{chosen:?}");
+}
+
 #[test]
 fn an_end_that_is_known_elsewhere_belongs_to_the_process_that_ended() {
     let mut state = state_with_v1_endpoint();
--- a/crates/keeper/src/routing_coordinator.rs
+++ b/crates/keeper/src/routing_coordinator.rs
@@ -399,7 +399,8 @@
             // Entries that have not learned of the order yet still count an earlier roll-out.
             let reports = self.entry_reports.values();
             let reports = reports.filter(|report| report.arms_index >= clock.order_index);
-            for (key, count) in reports.flat_map(|report| &report.arms) {
+            let arms = reports.flat_map(|report| &report.arms);
+            for (key, count) in arms.filter(|(key, _)| !rollout.rejects(&key.version)) {
                 analysis.add(key, count);
             }
             let due_stage = match analysis.evaluate(&order.service, &order.target) {
--- a/crates/keeper/tests/routing_coordinator.rs
+++ b/crates/keeper/tests/routing_coordinator.rs
@@ -177,6 +177,37 @@
     assert_eq!(stages(&late), vec![RolloutStage::RolledBack]);
 }
 
+/// Guards against failures of a version that was rolled back which make the next one look sound.
+#[test]
+fn next_version_is_not_compared_with_one_that_was_rolled_back() {
+    let (mut coordinator, mut state) = leader_after_roll_back();
+    let next = RolloutOrder {
+        target: Arc::from("v3"),
+        ..order()
+    };
+    state.apply(4, &RoutingCommand::StartRollout(next));
+    coordinator.update_rollout_clocks(at(0), &state);
+    let arm = |version: &str, failed: u32| {
+        let key = ArmKey {
+            service: order().service,
+            version: Arc::from(version),
+            route: Arc::from("r"),
+        };
+        let mut count = ArmCount::default();
+        (0..40).for_each(|number| count.record((number >= failed).then_some(0.1)));
+        (key, count)
+    };
+    let mut report = call("entry-1", 0, Vec::new());
+    report.rollouts.clear();
+    report.known.index = 4;
+    report.arms = Some(vec![arm("v1", 0), arm(&order().target, 30), arm("v3", 10)]);
+
+    watch(&mut coordinator, &state, report);
+    let commands = coordinator.due_commands(at(1_500), &state);
+
+    assert_eq!(stages(&commands), vec![RolloutStage::RolledBack]);
+}
+
 /// Guards against a second roll-out that is completed at once by an entry that still runs the first.
 #[test]
 fn entry_that_still_runs_the_first_roll_out_does_not_advance_the_second() {
