Tell entries when an endpoint turns cold again

Cause: its cold time left was compared with that of the last notice applied, and notices that only confirm an endpoint are not applied. A second cold time no longer than the first counted as a confirmation.

Change: the leading keeper compares the end of the cold time by its own clock with the one that it knows, and has the notice applied if it moves by more than 500 ms; an applied notice of a cold endpoint is a change for all entries. A new leader takes the first cold time that it hears of for new.

--- a/crates/core/src/routing/directory.rs
+++ b/crates/core/src/routing/directory.rs
@@ -124,7 +124,8 @@
         self.endpoints.get(id)
     }
 
-    /// Determines the effect of `notice` without applying it.
+    /// Determines the effect of `notice` without applying it. That an endpoint has turned cold again
+    /// is seen only if it stays cold for longer than in the latest notice applied.
     pub fn classify(&self, notice: &EndpointNotice) -> NoticeOutcome {
         if self.is_address_taken_over(notice) {
             return NoticeOutcome::Stale;
@@ -146,8 +147,7 @@
             && known.slots == notice.slots
             && known.phase == notice.phase
             && known.models == notice.models
-            // The remaining warm-up time shrinks with each notice of a cold endpoint. Only an
-            // increase means that the endpoint has turned cold again.
+            // The remaining warm-up time shrinks with each notice of a cold endpoint.
             && notice.cold_left_ms <= known.cold_left_ms;
         if is_same {
             NoticeOutcome::Refreshes
@@ -166,10 +166,13 @@
 
     /// Applies `notice` as change `index`.
     pub fn apply(&mut self, index: ChangeIndex, notice: &EndpointNotice) -> NoticeOutcome {
-        let outcome = self.classify(notice);
-        if outcome == NoticeOutcome::Stale {
-            return outcome;
-        }
+        // The leader tells by its clock whether an endpoint is still cold or cold again, and has only
+        // those notices applied that entries must learn of.
+        let outcome = match self.classify(notice) {
+            NoticeOutcome::Stale => return NoticeOutcome::Stale,
+            NoticeOutcome::Refreshes if notice.cold_left_ms == 0 => NoticeOutcome::Refreshes,
+            NoticeOutcome::Refreshes | NoticeOutcome::Changes => NoticeOutcome::Changes,
+        };
         self.retire_address(index, notice);
         let changed_at = match (outcome, self.endpoints.get(&notice.id)) {
             (NoticeOutcome::Refreshes, Some(known)) => known.changed_at,
--- a/crates/core/tests/routing/directory.rs
+++ b/crates/core/tests/routing/directory.rs
@@ -197,3 +197,22 @@
         NoticeOutcome::Refreshes
     );
 }
+
+/// Guards against entries that are not told of a cold time no longer than the one before it.
+#[test]
+fn applied_notice_of_a_cold_endpoint_is_a_change() {
+    let mut directory = EndpointDirectory::default();
+    let cold = |sequence, cold_left_ms| EndpointNotice {
+        cold_left_ms,
+        ..notice("a", 100, sequence)
+    };
+    directory.apply(1, &cold(1, 3_000));
+
+    let cold_again = directory.apply(2, &cold(2, 2_700));
+    let warm = directory.apply(3, &cold(3, 0));
+
+    assert_eq!(cold_again, NoticeOutcome::Changes);
+    assert_eq!(warm, NoticeOutcome::Refreshes);
+    let changed_at = directory.get("a").map(|endpoint| endpoint.changed_at);
+    assert_eq!(changed_at, Some(2));
+}
--- a/crates/keeper/src/routing_coordinator.rs
+++ b/crates/keeper/src/routing_coordinator.rs
@@ -58,6 +58,9 @@
 const SUSPICION_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval at which the progress of a roll-out is replicated.
 const PROGRESS_INTERVAL: Duration = Duration::from_secs(1);
+/// Time by which the end of an endpoint's cold time must move for a new one. Below it, the notice has
+/// only taken longer to arrive.
+const MIN_COLD_EXTENSION: Duration = Duration::from_millis(500);
 
 #[derive(Clone, Copy, Debug)]
 struct EndpointLiveness {
@@ -174,14 +177,27 @@
             return NoticeOutcome::Stale;
         }
         let outcome = state.directory.classify(notice);
-        if outcome != NoticeOutcome::Stale {
-            let liveness = EndpointLiveness {
-                last_seen: now,
-                cold_until: now + Duration::from_millis(notice.cold_left_ms),
-            };
-            self.liveness.insert(Arc::clone(&notice.id), liveness);
+        if outcome == NoticeOutcome::Stale {
+            return outcome;
+        }
+        let announced = now + Duration::from_millis(notice.cold_left_ms);
+        let known = self.liveness.get(&notice.id);
+        let known = known.map(|liveness| liveness.cold_until);
+        let turns_cold = notice.cold_left_ms > 0
+            && known.is_none_or(|known| announced > known + MIN_COLD_EXTENSION);
+        let is_change = outcome == NoticeOutcome::Changes || turns_cold;
+        // A notice that took longer to arrive seems to put off the end of the cold time.
+        let earliest = known.filter(|_| !is_change).unwrap_or(announced);
+        let liveness = EndpointLiveness {
+            last_seen: now,
+            cold_until: announced.min(earliest),
+        };
+        self.liveness.insert(Arc::clone(&notice.id), liveness);
+        if is_change {
+            NoticeOutcome::Changes
+        } else {
+            outcome
         }
-        outcome
     }
 
     /// Records the report in a watch and holds the watch until there is something to answer.
--- a/crates/keeper/tests/routing_coordinator.rs
+++ b/crates/keeper/tests/routing_coordinator.rs
@@ -340,3 +340,61 @@
     assert_eq!(outcome, NoticeOutcome::Changes);
     assert_eq!(known, Some(EndpointPhase::Ready));
 }
+
+/// A notice of an endpoint that stays cold for `cold_left_ms`.
+fn cold(sequence: u64, cold_left_ms: u64) -> EndpointNotice {
+    EndpointNotice {
+        sequence,
+        cold_left_ms,
+        ..notice("a", "llm", 100)
+    }
+}
+
+/// Records `notice` as the leader does and applies it if it is a change. Returns whether entries are
+/// sent the endpoint.
+fn announce(
+    coordinator: &mut RoutingCoordinator,
+    state: &mut RoutingState,
+    now: TimePoint,
+    notice: EndpointNotice,
+) -> bool {
+    let index = state.changed_at;
+    if coordinator.record_notice(now, state, &notice) == NoticeOutcome::Changes {
+        state.apply(index + 1, &RoutingCommand::Announce(notice));
+    }
+    state.changed_at > index
+}
+
+/// Guards against the full share of calls for an endpoint that turns cold again, after a first cold
+/// time that was as long (review/11).
+#[test]
+fn endpoint_that_turns_cold_again_is_sent_to_entries() {
+    let mut state = RoutingState::default();
+    let mut coordinator = leader_of(&state);
+    let mut announce = |millis, notice| announce(&mut coordinator, &mut state, at(millis), notice);
+
+    assert!(announce(0, cold(1, 3_000)));
+    assert!(!announce(1_200, cold(2, 1_800)));
+    assert!(!announce(2_600, cold(3, 600)));
+    assert!(!announce(3_600, cold(4, 0)));
+
+    // Cold again for as long, and before the end of that once more for a shorter time.
+    assert!(announce(12_000, cold(5, 2_700)));
+    assert!(!announce(13_200, cold(6, 1_500)));
+    assert!(announce(14_400, cold(7, 1_500)));
+}
+
+/// Guards against a new leader that takes a cold endpoint for one that its entries know as cold.
+#[test]
+fn new_leader_sends_cold_endpoints_to_entries() {
+    let mut state = RoutingState::default();
+    let mut coordinator = leader_of(&state);
+    announce(&mut coordinator, &mut state, at(0), cold(1, 3_000));
+    coordinator.start_leading(at(9_000));
+
+    let is_sent_cold = announce(&mut coordinator, &mut state, at(9_500), cold(2, 2_700));
+    let is_sent_again = announce(&mut coordinator, &mut state, at(10_700), cold(3, 1_500));
+
+    assert!(is_sent_cold);
+    assert!(!is_sent_again);
+}
