Complete no roll-out without reports and a whole shift

Cause: a new leader has no reports, no report counted as healthy, and a roll-out whose time was up went from the trial straight to its end, past the shift in which the new version first gets all calls.

Change: a leader moves a roll-out forward 500 ms into its term at the earliest and with a report; no stage is left out and the shift has its whole time, if need be past the deadline. Roll-backs are not delayed.

--- a/crates/core/src/routing/rollout.rs
+++ b/crates/core/src/routing/rollout.rs
@@ -51,6 +51,8 @@
     pub elapsed_ms: u64,
     /// Last change of the stage.
     pub changed_at: ChangeIndex,
+    /// Time since the request at which the stage began, in milliseconds.
+    pub stage_began_ms: u64,
     /// Versions that earlier roll-outs of the service were rolled back from and that have not been
     /// ordered again since, oldest first.
     pub rejected: Vec<Arc<str>>,
@@ -72,6 +74,7 @@
             stage: RolloutStage::Trial,
             elapsed_ms: 0,
             changed_at: index,
+            stage_began_ms: 0,
             rejected,
         }
     }
@@ -118,16 +121,40 @@
 }
 
 impl RolloutTiming {
+    /// Stage that `rollout` takes after `elapsed_ms` if the new version is healthy. No stage is left
+    /// out, and the shift is not cut short, also where that takes until after the deadline: the old
+    /// version needs the time to finish its calls, and the new one has not had all calls before.
+    pub fn next_stage(&self, rollout: &RolloutState, elapsed_ms: u64) -> RolloutStage {
+        let due = self.stage_if_healthy(&rollout.order, elapsed_ms);
+        let complete_before = self.complete_before(&rollout.order);
+        let shift = self.shift_before(&rollout.order);
+        let shift = shift.saturating_sub(complete_before);
+        let shifted = Duration::from_millis(elapsed_ms.saturating_sub(rollout.stage_began_ms));
+        let is_shifted = rollout.stage == RolloutStage::Shift && shifted >= shift;
+        if due == RolloutStage::Completed && !is_shifted {
+            RolloutStage::Shift
+        } else {
+            due
+        }
+    }
+
+    fn shift_before(&self, order: &RolloutOrder) -> Duration {
+        let duration = Duration::from_millis(order.duration_ms);
+        self.shift_before
+            .min(duration.mul_f64(self.max_shift_share))
+    }
+
+    fn complete_before(&self, order: &RolloutOrder) -> Duration {
+        let duration = Duration::from_millis(order.duration_ms);
+        let complete = duration.mul_f64(self.max_complete_share);
+        self.complete_before.min(complete)
+    }
+
     /// Stage that is due after `elapsed_ms` if the new version is healthy.
     pub fn stage_if_healthy(&self, order: &RolloutOrder, elapsed_ms: u64) -> RolloutStage {
         let duration = Duration::from_millis(order.duration_ms);
         let elapsed = Duration::from_millis(elapsed_ms);
-        let shift = self
-            .shift_before
-            .min(duration.mul_f64(self.max_shift_share));
-        let complete = self
-            .complete_before
-            .min(duration.mul_f64(self.max_complete_share));
+        let (shift, complete) = (self.shift_before(order), self.complete_before(order));
         if elapsed + complete >= duration {
             RolloutStage::Completed
         } else if elapsed + shift >= duration {
--- a/crates/core/src/routing/state.rs
+++ b/crates/core/src/routing/state.rs
@@ -271,6 +271,7 @@
         let is_change = rollout.stage != stage;
         if is_change {
             rollout.stage = stage;
+            rollout.stage_began_ms = rollout.elapsed_ms;
             rollout.changed_at = index;
         }
         (RoutingOutcome::Accepted, is_change)
--- a/crates/entry/tests/model_choice.rs
+++ b/crates/entry/tests/model_choice.rs
@@ -113,6 +113,7 @@
         stage,
         elapsed_ms: 0,
         changed_at: 1,
+        stage_began_ms: 0,
         rejected: Vec::new(),
     });
     let update = RoutingUpdate {
--- a/crates/entry/tests/state.rs
+++ b/crates/entry/tests/state.rs
@@ -71,6 +71,7 @@
         stage,
         elapsed_ms: 0,
         changed_at: index,
+        stage_began_ms: 0,
         rejected: Vec::new(),
     }
 }
--- a/crates/keeper/src/routing_coordinator.rs
+++ b/crates/keeper/src/routing_coordinator.rs
@@ -58,6 +58,9 @@
 const SUSPICION_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval at which the progress of a roll-out is replicated.
 const PROGRESS_INTERVAL: Duration = Duration::from_secs(1);
+/// Time from the start of a term until the entries have reported the outcomes of roll-outs. They poll
+/// at least every 0.4 s, and look for a new leader at all keepers at once.
+const REPORT_WAIT: Duration = Duration::from_millis(500);
 /// Time by which the end of an endpoint's cold time must move for a new one. Below it, the notice has
 /// only taken longer to arrive.
 const MIN_COLD_EXTENSION: Duration = Duration::from_millis(500);
@@ -401,6 +404,9 @@
 
     fn due_rollout_moves(&mut self, now: TimePoint, state: &RoutingState) -> Vec<RoutingCommand> {
         let mut commands = Vec::new();
+        // Without reports of this term, nothing is known of the new version's outcomes.
+        let has_reports =
+            now.since(self.leader_since) >= REPORT_WAIT && !self.entry_reports.is_empty();
         for rollout in state
             .rollouts
             .values()
@@ -428,7 +434,10 @@
                     );
                     RolloutStage::RolledBack
                 }
-                VersionVerdict::Healthy => self.timing.stage_if_healthy(order, elapsed_ms),
+                VersionVerdict::Healthy if has_reports => {
+                    self.timing.next_stage(rollout, elapsed_ms)
+                }
+                VersionVerdict::Healthy => rollout.stage,
             };
             let is_record_due = now.since(clock.recorded_at) >= PROGRESS_INTERVAL;
             if due_stage != rollout.stage || is_record_due {
