Reset the connections of attempts that are given up

Cause: the connection of an attempt that was given up was closed; the kernel goes on sending what was written to it until a partition ends.

Change: a connection whose call has no complete response is reset when it is dropped, which discards what has not arrived.

--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -198,6 +198,8 @@
 /// A response whose body has not been read yet. Dropping it closes the connection, which makes the
 /// endpoint cancel the call.
 pub struct EndpointResponse {
+    /// Dropped before the body, whose end would otherwise close the connection without a reset.
+    connection: EndpointConnection,
     /// Response head as the endpoint sent it.
     pub parts: Parts,
     /// Response head as the codec read it.
@@ -206,7 +208,6 @@
     pub body: Incoming,
     /// Counts the attempt as in flight.
     pub guard: AttemptGuard,
-    connection: EndpointConnection,
 }
 
 impl EndpointResponse {
@@ -260,11 +261,11 @@
     let head = (context.codec.read_response)(&parts, &call.head.id);
     connection.record_response(&head);
     let response = EndpointResponse {
+        connection,
         parts,
         head,
         body,
         guard,
-        connection,
     };
     if is_copy_missing(call, &response) {
         let EndpointResponse { mut guard, .. } = response;
--- a/crates/entry/src/forward/connections.rs
+++ b/crates/entry/src/forward/connections.rs
@@ -47,7 +47,7 @@
     Broken(String),
 }
 
-/// An open connection. Dropping it closes it at once.
+/// An open connection. Dropping it closes it at once, and resets it if a call is under way.
 pub struct EndpointConnection {
     sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
@@ -55,12 +55,17 @@
     last_used_at: TimePoint,
     /// Whether the next response on the connection can only belong to the next request.
     is_in_step: bool,
+    /// Whether a call was sent whose response has not been received completely.
+    has_open_call: bool,
     /// How far the current request has been written.
     pub meter: WriteMeter,
 }
 
 impl Drop for EndpointConnection {
     fn drop(&mut self) {
+        if self.has_open_call {
+            self.meter.abandon();
+        }
         self.driver.abort();
     }
 }
@@ -99,6 +104,7 @@
             idle_limit: DEFAULT_IDLE_LIMIT,
             last_used_at: clock::now(),
             is_in_step: true,
+            has_open_call: false,
             meter,
         })
     }
@@ -114,6 +120,7 @@
     ) -> Result<hyper::Response<Incoming>, ConnectionError> {
         self.meter.restart();
         self.is_in_step = false;
+        self.has_open_call = true;
         match self.sender.try_send_request(request).await {
             Ok(response) => Ok(response),
             Err(mut error) => match error.take_message() {
@@ -137,6 +144,11 @@
         self.is_in_step = head.has_call_id;
     }
 
+    /// Records that the response to the last request has been received completely.
+    pub fn finish_call(&mut self) {
+        self.has_open_call = false;
+    }
+
     fn is_usable(&self, now: TimePoint, max_idle: Duration) -> bool {
         self.sender.is_ready() && now.since(self.last_used_at) < self.idle_limit.min(max_idle)
     }
@@ -180,6 +192,7 @@
     /// Returns a connection to the pool, or closes it if its responses cannot be told apart any more.
     /// Its last response must have been received completely.
     pub fn put(&self, now: TimePoint, address: &str, mut connection: EndpointConnection) {
+        connection.finish_call();
         if !connection.is_in_step {
             return;
         }
--- a/crates/entry/src/forward/copy_calls.rs
+++ b/crates/entry/src/forward/copy_calls.rs
@@ -216,5 +216,6 @@
     let status = response.status();
     let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
     let body = body.collect().await.map_err(|error| error.to_string())?;
+    connection.finish_call();
     Ok((status, body.to_bytes()))
 }
--- a/crates/entry/src/forward/sockets.rs
+++ b/crates/entry/src/forward/sockets.rs
@@ -1,6 +1,8 @@
 //! Bounds what the kernel buffers for a connection. The buffers belong to the memory of the process's
 //! control group, and bytes in them hide that the other side does not read.
 
+use std::time::Duration;
+
 use socket2::SockRef;
 use tokio::net::TcpStream;
 
@@ -27,3 +29,10 @@
     let _ = socket.set_tcp_notsent_lowat(UNSENT_ENDPOINT_BYTES);
     let _ = socket.set_recv_buffer_size(ENDPOINT_RECEIVE_BYTES);
 }
+
+/// Has the connection reset when it is closed. The kernel then discards what the other side has not
+/// received, instead of sending it for as long as a partition lasts. A connection that has failed
+/// already has nothing to discard, so errors are ignored.
+pub fn reset_when_closed(stream: &TcpStream) {
+    let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
+}
--- a/crates/entry/src/forward/write_meter.rs
+++ b/crates/entry/src/forward/write_meter.rs
@@ -2,6 +2,7 @@
 
 use std::io::{self, IoSlice};
 use std::pin::{Pin, pin};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -14,14 +15,27 @@
 use chestnutloft_wire::clock;
 
 use super::attempt::AttemptFailure;
+use super::sockets::reset_when_closed;
 
 /// Progress of the request that is written to a connection.
 #[derive(Clone, Debug, Default)]
-pub struct WriteMeter(Arc<Mutex<WriteProgress>>);
+pub struct WriteMeter(Arc<MeterState>);
+
+#[derive(Debug, Default)]
+struct MeterState {
+    progress: Mutex<WriteProgress>,
+    is_abandoned: AtomicBool,
+}
 
 impl WriteMeter {
     fn progress(&self) -> MutexGuard<'_, WriteProgress> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        let progress = self.0.progress.lock();
+        progress.unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Has the connection reset when it is closed, since its request was given up.
+    pub fn abandon(&self) {
+        self.0.is_abandoned.store(true, Ordering::Relaxed);
     }
 
     /// The next request begins.
@@ -82,7 +96,7 @@
     }
 }
 
-/// A connection's stream with its meter.
+/// A connection's stream with its meter. It is reset when dropped if its request was given up.
 #[derive(Debug)]
 pub struct MeteredStream {
     stream: TcpStream,
@@ -96,6 +110,14 @@
     }
 }
 
+impl Drop for MeteredStream {
+    fn drop(&mut self) {
+        if self.meter.0.is_abandoned.load(Ordering::Relaxed) {
+            reset_when_closed(&self.stream);
+        }
+    }
+}
+
 impl AsyncRead for MeteredStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
